--- a/benchlink/src/host.rs
+++ b/benchlink/src/host.rs
@@ -2,9 +2,9 @@
 
 use crate::codec::{decode, Closed, Entry, Record, Reply};
 use crate::settings::{ms, parse};
+use roseyard::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use sumacgrade::*;
 
 struct Instance {
     gateway: Gateway,
--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -1,4 +1,4 @@
-//! The adapter between sumacgrade and the bench's wire. It translates; it decides nothing.
+//! The adapter between roseyard and the bench's wire. It translates; it decides nothing.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -1,14 +1,14 @@
-//! `sumacgrade-benchlink`: reads batches on standard input, writes replies to standard output.
+//! `roseyard-benchlink`: reads batches on standard input, writes replies to standard output.
 #![forbid(unsafe_code)]
 
 use std::io;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match sumacgrade_benchlink::serve(&mut io::stdin().lock(), &mut io::stdout().lock()) {
+    match roseyard_benchlink::serve(&mut io::stdin().lock(), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("sumacgrade-benchlink: {e}");
+            eprintln!("roseyard-benchlink: {e}");
             ExitCode::FAILURE
         }
     }
--- a/benchlink/src/settings.rs
+++ b/benchlink/src/settings.rs
@@ -1,8 +1,8 @@
 //! The settings text of an instance, mapped to the library's settings. Unknown keys are ignored.
 
+use roseyard::{Class, Counter, DedupGroup, Discovery, Effect, Guarantees, Limits, Plan, Settings};
 use serde::Deserialize;
 use std::time::Duration;
-use sumacgrade::{Class, Counter, DedupGroup, Discovery, Effect, Guarantees, Limits, Plan, Settings};
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
--- a/benchlink/tests/wire.rs
+++ b/benchlink/tests/wire.rs
@@ -1,7 +1,7 @@
 //! Byte examples of the wire, decoded and encoded, and what bad input gets.
 
-use sumacgrade_benchlink::codec::{decode, CodecError, Record, Reply};
-use sumacgrade_benchlink::serve;
+use roseyard_benchlink::codec::{decode, CodecError, Record, Reply};
+use roseyard_benchlink::serve;
 
 fn hex(s: &str) -> Vec<u8> {
     let s: String = s.split_whitespace().collect();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
-//! **sumacgrade** decides what an admission gateway does with each request of a service sold by plan: send it
+//! **roseyard** decides what an admission gateway does with each request of a service sold by plan: send it
 //! to which server, refuse it, try again, give up. It performs no I/O and reads no clock. The embedder feeds
 //! [`Event`]s with the time and carries out the [`Action`]s: it owns the sockets, the timers, the clock and the
 //! calls to the counter service.
 //!
 //! ```
 //! use std::time::Duration;
-//! use sumacgrade::*;
+//! use roseyard::*;
 //!
 //! let ms = Duration::from_millis;
 //! let settings = Settings {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,9 +1,9 @@
 //! Drives gateways through legal event orders and checks the five rules on every action.
 #![allow(dead_code)]
 
+use roseyard::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use sumacgrade::*;
 
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
--- a/tests/counter.rs
+++ b/tests/counter.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use sumacgrade::*;
+use roseyard::*;
 
 fn granted(w: &mut World, g: usize, plan: usize, customer: u64, tries: usize) -> usize {
     (0..tries).filter(|_| w.passes(g, plan, customer)).count()
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 use proptest::prelude::*;
-use sumacgrade::*;
+use roseyard::*;
 
 #[derive(Clone, Debug)]
 enum Step {
--- a/tests/rare_sends.rs
+++ b/tests/rare_sends.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
+use roseyard::*;
 use std::time::Duration;
-use sumacgrade::*;
 
 const GATEWAYS: usize = 30;
 const SERVERS: u32 = 60;
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use sumacgrade::*;
+use roseyard::*;
 
 /// A steady flow in which the servers of `dead` never answer and the others do after 20 ms.
 fn flow(w: &mut World, class: usize, rounds: u64, dead: &[u32]) {
--- a/tests/size_of_fleet.rs
+++ b/tests/size_of_fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use sumacgrade::*;
+use roseyard::*;
 
 const MANY: usize = 300;
 
