--- a/benchlink/src/host.rs
+++ b/benchlink/src/host.rs
@@ -1,8 +1,8 @@
 //! Records to events and actions to records: many gateways, none knowing of another.
 
 use crate::codec::{decode, Closed, Entry, Record, Reply};
-use crate::settings::{ms, parse};
 use roseyard::*;
+use roseyard_settings::{ms, Options};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -122,10 +122,11 @@
                 return Ok(());
             }
             Record::Create { i, salt, options } => {
-                let (settings, fields) =
-                    parse(&options).map_err(|e| format!("Create for instance {i}: {e}"))?;
-                let gateway = Gateway::new(settings, salt)
-                    .map_err(|e| format!("Create for instance {i}: settings: {e}"))?;
+                let wrong = |e| format!("Create for instance {i}: {e}");
+                let options = Options::parse(&options).map_err(wrong)?;
+                let gateway = Gateway::new(options.settings().map_err(wrong)?, salt)
+                    .map_err(|e| wrong(format!("settings: {e}")))?;
+                let fields = options.report_fields().to_vec();
                 self.instances.insert(i, Instance { gateway, fields });
                 return Ok(());
             }
--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -4,7 +4,6 @@
 
 pub mod codec;
 pub mod host;
-pub mod settings;
 
 use std::io::{self, Read, Write};
 
--- /dev/null
+++ b/ingress/src/limits.rs
@@ -0,0 +1,118 @@
+//! Every size, count and time of the ingress, filled once at start and handed down.
+
+use roseyard_settings::Options;
+use std::time::Duration;
+
+/// Sizes in bytes, counts and times.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Longest value on a socket.
+    pub value_bytes: usize,
+    /// Longest header line, status line or chunk head.
+    pub line_bytes: usize,
+    /// Most words of a command.
+    pub words: usize,
+    /// Deepest nesting of an answer.
+    pub depth: usize,
+    /// Longest line of the list of servers.
+    pub list_bytes: usize,
+    /// A connection's read buffer at first, and what it shrinks back to.
+    pub chunk_bytes: usize,
+    /// Answers that a client may leave unread before its requests are.
+    pub unread_bytes: usize,
+    /// Bytes of all requests held.
+    pub held_bytes: usize,
+    /// Requests held.
+    pub requests: usize,
+    /// Requests of one client connection that wait for answers.
+    pub pipelined: usize,
+    /// Client connections.
+    pub clients: usize,
+    /// Connections to servers, in use and idle.
+    pub links: usize,
+    /// Connections to the counter.
+    pub counters: usize,
+    /// Calls on one counter connection that wait for answers.
+    pub counter_calls: usize,
+    /// Readiness events taken in at once.
+    pub batch: usize,
+    /// The listener's queue.
+    pub backlog: i32,
+    /// A connection must be up by then.
+    pub connect: Duration,
+    /// An idle connection to a server is dropped after this.
+    pub link_idle: Duration,
+    /// A probe must be answered by then.
+    pub probe: Duration,
+    /// An idle connection to the counter is dropped after this.
+    pub counter_idle: Duration,
+    /// A counter connection that owes answers and gives none for this long is dropped.
+    pub counter_silence: Duration,
+    /// A counter connection that failed is tried again after this.
+    pub counter_again: Duration,
+    /// Discovery is taken as silent after this: its line is due every 2 s.
+    pub list_silence: Duration,
+    /// Discovery is called again after this.
+    pub list_again: Duration,
+    /// `PING` is answered by then even if discovery says nothing.
+    pub ready: Duration,
+    /// Accepting is tried again after this when descriptors ran out.
+    pub accept_again: Duration,
+    /// A client that takes in no byte of its answers for this long is dropped.
+    pub client_stall: Duration,
+    /// New connections are accepted for this long after SIGTERM.
+    pub drain_accept: Duration,
+    /// A connection whose sending we ended is closed after this at the latest.
+    pub linger: Duration,
+    /// The process ends this long after SIGTERM at the latest.
+    pub drain: Duration,
+    /// Log lines a second; further ones are counted.
+    pub log_lines: u32,
+}
+
+/// Descriptors kept for standard streams, epoll, listener, signals and discovery.
+const RESERVED: usize = 24;
+
+impl Limits {
+    /// The limits under so many descriptors and so much memory, and by the settings.
+    pub fn new(sockets: usize, memory_mb: usize, options: &Options) -> Limits {
+        let ms = Duration::from_millis;
+        let counters = 8;
+        let left = sockets.saturating_sub(RESERVED + counters).max(8);
+        let memory = memory_mb.max(32) << 20;
+        let longest = options.longest_deadline();
+        Limits {
+            value_bytes: 64 << 10,
+            line_bytes: 8 << 10,
+            words: 32,
+            depth: 4,
+            list_bytes: 4 << 20,
+            chunk_bytes: 2 << 10,
+            unread_bytes: 256 << 10,
+            held_bytes: memory / 4,
+            requests: options.max_open().unwrap_or(20_000),
+            pipelined: 1024,
+            clients: left * 6 / 10,
+            links: left * 4 / 10,
+            counters,
+            counter_calls: 4096,
+            batch: 256,
+            backlog: 1024,
+            connect: options.connect_timeout().unwrap_or(ms(250)),
+            link_idle: options.idle_connection().unwrap_or(ms(10_000)).mul_f64(0.8),
+            probe: ms(250),
+            counter_idle: ms(4000),
+            counter_silence: ms(1000),
+            counter_again: ms(100),
+            list_silence: ms(4500),
+            list_again: ms(200),
+            ready: ms(1000),
+            accept_again: ms(20),
+            client_stall: ms(10_000),
+            drain_accept: ms(600),
+            linger: ms(500),
+            drain: longest.max(ms(3000)) + ms(500),
+            log_lines: 50,
+        }
+    }
+}
--- /dev/null
+++ b/ingress/src/program/config.rs
@@ -0,0 +1,95 @@
+//! What the platform tells an ingress at its start.
+
+use crate::protocol::list::List;
+use roseyard_settings::Options;
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+#[derive(Deserialize)]
+struct Raw {
+    name: String,
+    listen: String,
+    discovery: String,
+    seed: String,
+    #[serde(default)]
+    limits: Machine,
+    #[serde(default)]
+    counter: Option<String>,
+    known: List,
+    settings: Options,
+}
+
+/// The machine's limits.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Machine {
+    /// Memory over which the ingress is killed, in MB.
+    #[serde(default = "memory")]
+    pub memory_mb: usize,
+    /// Descriptors that a process may hold.
+    #[serde(default = "sockets")]
+    pub sockets: usize,
+}
+
+fn memory() -> usize {
+    192
+}
+
+fn sockets() -> usize {
+    1024
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Machine { memory_mb: memory(), sockets: sockets() }
+    }
+}
+
+/// The configuration, checked.
+pub struct Config {
+    /// This ingress's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Discovery.
+    pub discovery: SocketAddr,
+    /// The counter.
+    pub counter: Option<SocketAddr>,
+    /// Seed for random numbers.
+    pub seed: u64,
+    /// The machine's limits.
+    pub limits: Machine,
+    /// The list of servers as this ingress last held it.
+    pub known: List,
+    /// The platform's settings.
+    pub settings: Options,
+}
+
+impl Config {
+    /// Reads the file that `LB_CONFIG` names; `LB_NAME`, `LB_LISTEN` and `LB_DISCOVERY` go before it.
+    pub fn read() -> Result<Config, String> {
+        let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set".to_owned())?;
+        let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+        Config::parse(text, |name| std::env::var(name).ok()).map_err(|e| format!("{path}: {e}"))
+    }
+
+    /// Decodes a configuration; `env` gives what goes before it.
+    pub fn parse(mut text: Vec<u8>, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let raw: Raw = simd_json::serde::from_slice(&mut text).map_err(|e| e.to_string())?;
+        let address = |name: &str, text: String| -> Result<SocketAddr, String> {
+            text.parse().map_err(|_| format!("{name}: '{text}' is not an address"))
+        };
+        let mut known = raw.known;
+        known.all = true;
+        Ok(Config {
+            name: env("LB_NAME").unwrap_or(raw.name),
+            listen: address("listen", env("LB_LISTEN").unwrap_or(raw.listen))?,
+            discovery: address("discovery", env("LB_DISCOVERY").unwrap_or(raw.discovery))?,
+            counter: raw.counter.map(|c| address("counter", c)).transpose()?,
+            seed: u64::from_str_radix(&raw.seed, 16)
+                .map_err(|_| format!("seed: '{}' is not hex", raw.seed))?,
+            limits: raw.limits,
+            known,
+            settings: raw.settings,
+        })
+    }
+}
--- /dev/null
+++ b/ingress/src/protocol/http.rs
@@ -0,0 +1,120 @@
+//! HTTP/1.1 as a client of the counter and of discovery.
+
+use super::{Malformed, Parsed};
+use crate::limits::Limits;
+use std::io::Write;
+
+/// How an answer's body is framed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Body {
+    /// So many bytes.
+    Length(usize),
+    /// In chunks.
+    Chunked,
+    /// All until the connection ends.
+    UntilEnd,
+}
+
+/// An answer's head.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Head {
+    /// Status.
+    pub status: u16,
+    /// The body's framing.
+    pub body: Body,
+    /// The other side will close after this answer.
+    pub closes: bool,
+}
+
+/// The head of an answer and its length.
+pub fn head(input: &[u8], limits: &Limits) -> Parsed<Head> {
+    let seen = &input[..input.len().min(limits.line_bytes)];
+    let Some(end) = seen.windows(4).position(|w| w == b"\r\n\r\n") else {
+        return match input.len() >= limits.line_bytes {
+            true => Err(Malformed("head too long")),
+            false => Ok(None),
+        };
+    };
+    let text = std::str::from_utf8(&input[..end]).map_err(|_| Malformed("head is not a text"))?;
+    let mut lines = text.split("\r\n");
+    let first = lines.next().unwrap_or_default();
+    let status = first.strip_prefix("HTTP/1.").and_then(|rest| rest.split(' ').nth(1));
+    let status = status.and_then(|s| s.parse().ok()).ok_or(Malformed("no status line"))?;
+    let mut found = Head { status, body: Body::UntilEnd, closes: first.starts_with("HTTP/1.0") };
+    if matches!(status, 100..=199 | 204 | 304) {
+        found.body = Body::Length(0);
+    }
+    for line in lines {
+        let (name, value) = line.split_once(':').ok_or(Malformed("header without a colon"))?;
+        let value = value.trim();
+        if name.eq_ignore_ascii_case("content-length") && found.body == Body::UntilEnd {
+            let length = value.parse().ok().filter(|n| *n <= limits.value_bytes);
+            found.body = Body::Length(length.ok_or(Malformed("invalid content-length"))?);
+        } else if name.eq_ignore_ascii_case("transfer-encoding") {
+            if !value.eq_ignore_ascii_case("chunked") {
+                return Err(Malformed("unknown transfer-encoding"));
+            }
+            found.body = Body::Chunked;
+        } else if name.eq_ignore_ascii_case("connection") {
+            found.closes |= value.eq_ignore_ascii_case("close");
+        }
+    }
+    Ok(Some((found, end + 4)))
+}
+
+/// One chunk of a chunked body and its length with its frame; an empty one is the last.
+pub fn chunk<'a>(input: &'a [u8], limits: &Limits) -> Parsed<&'a [u8]> {
+    let seen = &input[..input.len().min(64)];
+    let Some(end) = seen.iter().position(|b| *b == b'\n') else {
+        return match seen.len() >= 64 {
+            true => Err(Malformed("chunk head too long")),
+            false => Ok(None),
+        };
+    };
+    let size = seen[..end].strip_suffix(b"\r").ok_or(Malformed("line without CR"))?;
+    let size = size.split(|b| *b == b';').next().unwrap_or_default();
+    let size = std::str::from_utf8(size).ok().filter(|s| !s.is_empty() && s.len() <= 8);
+    let size = size.and_then(|s| usize::from_str_radix(s.trim(), 16).ok());
+    let size = size.filter(|n| *n <= limits.list_bytes).ok_or(Malformed("invalid chunk size"))?;
+    let start = end + 1;
+    let Some(found) = input.get(start..start + size + 2) else { return Ok(None) };
+    if &found[size..] != b"\r\n" {
+        return Err(Malformed("chunk without its end"));
+    }
+    Ok(Some((&found[..size], start + size + 2)))
+}
+
+/// A whole answer with its body: what the counter sends.
+pub fn answer<'a>(input: &'a [u8], limits: &Limits) -> Parsed<(Head, &'a [u8])> {
+    let Some((found, at)) = head(input, limits)? else { return Ok(None) };
+    match found.body {
+        Body::Length(n) => Ok(input.get(at..at + n).map(|body| ((found, body), at + n))),
+        Body::Chunked => {
+            // The counter's totals are short: a body of one chunk and the last.
+            let Some((body, used)) = chunk(&input[at..], limits)? else { return Ok(None) };
+            let end = at + used;
+            if body.is_empty() {
+                return Ok(Some(((found, body), end)));
+            }
+            let Some((last, used)) = chunk(&input[end..], limits)? else { return Ok(None) };
+            match last.is_empty() {
+                true => Ok(Some(((found, body), end + used))),
+                false => Err(Malformed("a total in several chunks")),
+            }
+        }
+        Body::UntilEnd => Err(Malformed("a body without its length")),
+    }
+}
+
+/// Appends a call to the counter.
+pub fn put_tally(out: &mut Vec<u8>, host: &str, name: u64, add: f64, keep_ms: u64) {
+    let _ = write!(
+        out,
+        "POST /tally/{name:016x}?n={add}&keep_ms={keep_ms} HTTP/1.1\r\nHost: {host}\r\nContent-Length: 0\r\n\r\n"
+    );
+}
+
+/// Appends the call that opens a watch after this version of the list.
+pub fn put_watch(out: &mut Vec<u8>, host: &str, after: u64) {
+    let _ = write!(out, "GET /discovery/hosts?watch=1&after={after} HTTP/1.1\r\nHost: {host}\r\n\r\n");
+}
--- /dev/null
+++ b/ingress/src/protocol/resp.rs
@@ -0,0 +1,161 @@
+//! RESP2: commands of clients, answers of servers.
+
+use super::{Malformed, Parsed};
+use crate::limits::Limits;
+use std::io::Write;
+
+/// A value of an answer; text borrows from the input.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value<'a> {
+    /// `+text`
+    Simple(&'a [u8]),
+    /// `-text`
+    Error(&'a [u8]),
+    /// `:number`
+    Integer(i64),
+    /// A bulk string, or null.
+    Bulk(Option<&'a [u8]>),
+    /// An array, or null.
+    Array(Option<Vec<Value<'a>>>),
+}
+
+/// A line from `at`, without its end, and where the next one begins.
+fn line(input: &[u8], at: usize, most: usize) -> Parsed<&[u8]> {
+    let rest = &input[at..];
+    let head = &rest[..rest.len().min(most + 2)];
+    match head.iter().position(|b| *b == b'\n') {
+        Some(end) if end > 0 && rest[end - 1] == b'\r' => Ok(Some((&rest[..end - 1], at + end + 1))),
+        Some(_) => Err(Malformed("line without CR")),
+        None if rest.len() > most => Err(Malformed("line too long")),
+        None => Ok(None),
+    }
+}
+
+/// A decimal number; a leading minus is taken for -1 alone, which stands for null.
+fn length(digits: &[u8]) -> Result<Option<usize>, Malformed> {
+    if digits == b"-1" {
+        return Ok(None);
+    }
+    let good = !digits.is_empty() && digits.len() <= 9 && digits.iter().all(u8::is_ascii_digit);
+    let number = || std::str::from_utf8(digits).ok()?.parse().ok();
+    good.then(number).flatten().map(Some).ok_or(Malformed("invalid length"))
+}
+
+/// The bulk string of this length that begins at `at`.
+fn bulk(input: &[u8], at: usize, len: usize) -> Parsed<&[u8]> {
+    let Some(found) = input.get(at..at + len + 2) else { return Ok(None) };
+    if &found[len..] != b"\r\n" {
+        return Err(Malformed("bulk string without its end"));
+    }
+    Ok(Some((&found[..len], at + len + 2)))
+}
+
+/// Words that are kept of a command; no command that is served here has more.
+const KEPT: usize = 8;
+
+/// The first words of a command.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Words<'a> {
+    kept: [&'a [u8]; KEPT],
+    count: usize,
+}
+
+impl<'a> Words<'a> {
+    /// The words, up to the most that are kept.
+    pub fn get(&self) -> &[&'a [u8]] {
+        &self.kept[..self.count.min(KEPT)]
+    }
+}
+
+/// A command: an array of bulk strings.
+pub fn command<'a>(input: &'a [u8], limits: &Limits) -> Parsed<Words<'a>> {
+    let mut words = Words::default();
+    match input.first() {
+        None => return Ok(None),
+        Some(b'*') => {}
+        Some(_) => return Err(Malformed("expected '*'")),
+    }
+    let Some((head, mut at)) = line(input, 0, 32)? else { return Ok(None) };
+    let count = length(&head[1..])?.unwrap_or(0);
+    if count > limits.words {
+        return Err(Malformed("too many words"));
+    }
+    for _ in 0..count {
+        match input.get(at) {
+            None => return Ok(None),
+            Some(b'$') => {}
+            Some(_) => return Err(Malformed("expected '$'")),
+        }
+        let Some((head, next)) = line(input, at, 32)? else { return Ok(None) };
+        let len = length(&head[1..])?.ok_or(Malformed("null in a command"))?;
+        if len > limits.value_bytes {
+            return Err(Malformed("value too long"));
+        }
+        let Some((word, next)) = bulk(input, next, len)? else { return Ok(None) };
+        if let Some(place) = words.kept.get_mut(words.count) {
+            *place = word;
+        }
+        words.count += 1;
+        at = next;
+    }
+    Ok(Some((words, at)))
+}
+
+/// An answer.
+pub fn value<'a>(input: &'a [u8], limits: &Limits) -> Parsed<Value<'a>> {
+    nested(input, 0, limits, limits.depth)
+}
+
+fn nested<'a>(input: &'a [u8], at: usize, limits: &Limits, depth: usize) -> Parsed<Value<'a>> {
+    let Some(kind) = input.get(at) else { return Ok(None) };
+    if !b"+-:$*".contains(kind) {
+        return Err(Malformed("unknown kind of value"));
+    }
+    let most = if matches!(kind, b'+' | b'-') { limits.line_bytes } else { 32 };
+    let Some((head, mut at)) = line(input, at, most)? else { return Ok(None) };
+    let text = &head[1..];
+    let found = match kind {
+        b'+' => Value::Simple(text),
+        b'-' => Value::Error(text),
+        b':' => {
+            let number = std::str::from_utf8(text).ok().and_then(|t| t.parse().ok());
+            Value::Integer(number.ok_or(Malformed("invalid number"))?)
+        }
+        b'$' => match length(text)? {
+            None => Value::Bulk(None),
+            Some(len) if len > limits.value_bytes => return Err(Malformed("value too long")),
+            Some(len) => {
+                let Some((word, next)) = bulk(input, at, len)? else { return Ok(None) };
+                at = next;
+                Value::Bulk(Some(word))
+            }
+        },
+        _ => match length(text)? {
+            None => Value::Array(None),
+            Some(count) if count > limits.words => return Err(Malformed("too many values")),
+            Some(_) if depth == 0 => return Err(Malformed("nested too deep")),
+            Some(count) => {
+                let mut values = Vec::with_capacity(count);
+                for _ in 0..count {
+                    let Some((value, next)) = nested(input, at, limits, depth - 1)? else { return Ok(None) };
+                    values.push(value);
+                    at = next;
+                }
+                Value::Array(Some(values))
+            }
+        },
+    };
+    Ok(Some((found, at)))
+}
+
+/// Appends the head of an array.
+pub fn put_array(out: &mut Vec<u8>, count: usize) {
+    let _ = write!(out, "*{count}\r\n");
+}
+
+/// Appends a bulk string.
+pub fn put_bulk(out: &mut Vec<u8>, text: &[u8]) {
+    let _ = write!(out, "${}\r\n", text.len());
+    out.extend_from_slice(text);
+    out.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/ingress/src/routing/attempts.rs
@@ -0,0 +1,347 @@
+//! Attempts and probes on connections to servers: one at a time on each, as servers answer in order and
+//! abandoning an attempt costs its connection.
+
+use super::core::{Answer, Core};
+use super::{Io, Party};
+use crate::protocol::report::report;
+use crate::protocol::resp::{self, Value};
+use crate::transport::{connect, is_fd_shortage, Fill, Key, Ready, Stream};
+use roseyard::*;
+use std::time::Duration;
+
+/// A connection to a server.
+pub(super) struct Link {
+    stream: Stream,
+    server: ServerId,
+    state: State,
+    used: Duration,
+    due: Option<Duration>,
+}
+
+#[derive(Clone, Copy)]
+enum State {
+    Connecting(Job),
+    Idle,
+    Busy(Job),
+}
+
+#[derive(Clone, Copy)]
+struct Job {
+    task: Task,
+    begun: Duration,
+    give_up: Duration,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Task {
+    Attempt(RequestId, u16),
+    Probe,
+}
+
+impl State {
+    fn job(self) -> Option<Job> {
+        match self {
+            State::Connecting(job) | State::Busy(job) => Some(job),
+            State::Idle => None,
+        }
+    }
+}
+
+/// What an answer means for an attempt: outcome, value and load report.
+fn meaning(value: &Value) -> (Outcome, Option<Vec<u8>>, Option<LoadReport>) {
+    match value {
+        Value::Bulk(Some(text)) => (Outcome::Ok, Some(text.to_vec()), None),
+        Value::Array(Some(items)) => match items.as_slice() {
+            [Value::Bulk(Some(text)), rest @ ..] => {
+                let load = match rest {
+                    [_, Value::Bulk(Some(load)), ..] => report(load),
+                    _ => None,
+                };
+                (Outcome::Ok, Some(text.to_vec()), load)
+            }
+            _ => (Outcome::Error, None, None),
+        },
+        Value::Error(text) => {
+            let outcome = if text.starts_with(b"BUSY") { Outcome::Full } else { Outcome::Error };
+            (outcome, None, text.rsplit(|b| *b == b' ').next().and_then(report))
+        }
+        _ => (Outcome::Error, None, None),
+    }
+}
+
+/// What an answer means for a probe.
+fn probe_meaning(value: &Value) -> (Outcome, Option<LoadReport>) {
+    match value {
+        Value::Bulk(Some(text)) => (Outcome::Ok, report(text)),
+        Value::Simple(_) => (Outcome::Ok, None),
+        Value::Error(text) if text.starts_with(b"BUSY") => (Outcome::Full, None),
+        _ => (Outcome::Error, None),
+    }
+}
+
+impl Core {
+    pub(super) fn send(&mut self, id: RequestId, server: ServerId, give_up: Duration, io: &mut Io) {
+        let Some(number) = self.next_attempt(id) else { return };
+        let job = Job { task: Task::Attempt(id, number), begun: io.now, give_up };
+        self.start(server, job, io);
+    }
+
+    pub(super) fn probe(&mut self, server: ServerId, io: &mut Io) {
+        let job = Job { task: Task::Probe, begun: io.now, give_up: io.now + io.limits.probe };
+        self.start(server, job, io);
+    }
+
+    /// May this job's first byte be written now? Guards against sends to a server that drains or is gone, for
+    /// a request that is over or out of time, also after a wait for the connection.
+    fn timely(&self, server: ServerId, job: &Job, now: Duration) -> bool {
+        let ready = self.fleet.get(server).is_some_and(|s| s.state == ServerState::Ready);
+        let wanted = match job.task {
+            Task::Attempt(id, _) => self.requests.get(Key::unpack(id.0)).is_some_and(|r| !r.finished),
+            Task::Probe => true,
+        };
+        ready && wanted && now < job.give_up
+    }
+
+    fn start(&mut self, server: ServerId, job: Job, io: &mut Io) {
+        if !self.timely(server, &job, io.now) {
+            return self.ended(job, server, Outcome::Moot, None, io.now);
+        }
+        if let Some(key) = self.fleet.get_mut(server).and_then(|s| s.idle.pop()) {
+            return self.write(key, job, io);
+        }
+        if self.links.len() >= io.limits.links && !self.evict_idle(io) {
+            return self.ended(job, server, Outcome::ConnectFailed, None, io.now);
+        }
+        let Some(address) = self.fleet.get(server).map(|s| s.address) else { return };
+        let mut opened = connect(&address, io.limits.chunk_bytes);
+        // Guards against running out of descriptors: an idle connection elsewhere makes room.
+        if matches!(&opened, Err(e) if is_fd_shortage(*e)) && self.evict_idle(io) {
+            opened = connect(&address, io.limits.chunk_bytes);
+        }
+        let Ok(stream) = opened else {
+            return self.ended(job, server, Outcome::ConnectFailed, None, io.now);
+        };
+        let state = State::Connecting(job);
+        let key = self.links.insert_with(|_| Link { stream, server, state, used: io.now, due: None });
+        if let Some(link) = self.links.get_mut(key) {
+            let at = (io.now + io.limits.connect).min(job.give_up);
+            io.deadlines.set(&mut link.due, Some(at), Party::Link(key));
+            if io.poller.add(link.stream.fd(), Party::Link(key).token()).is_err() {
+                self.break_link(key, Outcome::ConnectFailed, io);
+                return;
+            }
+        }
+        self.occupy(job, Some(key));
+    }
+
+    /// Closes the idle connection that was used longest ago.
+    pub(super) fn evict_idle(&mut self, io: &mut Io) -> bool {
+        let idle = self.links.iter().filter(|(_, l)| matches!(l.state, State::Idle));
+        let Some((key, _)) = idle.min_by_key(|(_, l)| l.used) else { return false };
+        self.close_link(key, io);
+        true
+    }
+
+    fn occupy(&mut self, job: Job, link: Option<Key>) {
+        if let Task::Attempt(id, _) = job.task {
+            if let Some(request) = self.requests.get_mut(Key::unpack(id.0)) {
+                request.link = link;
+            }
+        }
+    }
+
+    /// Writes a job on a connection that is up and free.
+    fn write(&mut self, key: Key, job: Job, io: &mut Io) {
+        let Some(link) = self.links.get_mut(key) else { return };
+        link.state = State::Busy(job);
+        link.used = io.now;
+        io.deadlines.set(&mut link.due, Some(job.give_up), Party::Link(key));
+        match job.task {
+            Task::Attempt(id, _) => {
+                let Some(request) = self.requests.get(Key::unpack(id.0)) else { return };
+                let wait = (job.give_up - io.now).as_millis().max(1) as u64;
+                request.command.put(wait, link.stream.output());
+            }
+            Task::Probe => link.stream.output().extend_from_slice(b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n"),
+        }
+        let failed = link.stream.flush().is_err();
+        self.occupy(job, Some(key));
+        if failed {
+            self.broken(key, io);
+        }
+    }
+
+    /// A connection has broken or ended: the request may have run if its last byte was written.
+    fn broken(&mut self, key: Key, io: &mut Io) {
+        let Some(link) = self.links.get(key) else { return };
+        let sent = matches!(link.state, State::Busy(_)) && link.stream.unwritten() == 0;
+        self.break_link(key, if sent { Outcome::Reset } else { Outcome::ConnectFailed }, io);
+    }
+
+    /// Closes a connection and ends what is out on it.
+    fn break_link(&mut self, key: Key, outcome: Outcome, io: &mut Io) {
+        let Some(link) = self.links.get(key) else { return };
+        let (server, job) = (link.server, link.state.job());
+        self.close_link(key, io);
+        if let Some(job) = job {
+            self.ended(job, server, outcome, None, io.now);
+        }
+    }
+
+    pub(super) fn close_link(&mut self, key: Key, io: &mut Io) {
+        let Some(mut link) = self.links.remove(key) else { return };
+        io.deadlines.set(&mut link.due, None, Party::Link(key));
+        if let Some(server) = self.fleet.get_mut(link.server) {
+            server.idle.retain(|k| *k != key);
+        }
+    }
+
+    fn ended(
+        &mut self,
+        job: Job,
+        server: ServerId,
+        outcome: Outcome,
+        load: Option<LoadReport>,
+        now: Duration,
+    ) {
+        self.occupy(job, None);
+        let Task::Attempt(request, attempt) = job.task else {
+            return self.events.push_back(Event::ProbeEnded { server, outcome, load });
+        };
+        let over = self.requests.get(Key::unpack(request.0)).is_none_or(|r| r.finished);
+        self.events.push_back(Event::AttemptEnded(AttemptEnd {
+            request,
+            attempt,
+            server,
+            outcome,
+            elapsed: now.saturating_sub(job.begun),
+            finished: over || outcome == Outcome::Ok,
+            metered_use: None,
+            true_units: None,
+            load,
+        }));
+    }
+
+    /// Stops waiting on an attempt: its connection goes with it.
+    pub(super) fn cancel(&mut self, id: RequestId, attempt: u16, io: &mut Io) {
+        let Some(key) = self.requests.get(Key::unpack(id.0)).and_then(|r| r.link) else { return };
+        let Some(link) = self.links.get(key) else { return };
+        if link.state.job().is_some_and(|j| j.task == Task::Attempt(id, attempt)) {
+            let written = matches!(link.state, State::Busy(_));
+            self.break_link(key, if written { Outcome::Cancelled } else { Outcome::Moot }, io);
+        }
+    }
+
+    /// A connection to a server is ready.
+    pub fn on_link(&mut self, key: Key, ready: Ready, io: &mut Io) {
+        let Some(link) = self.links.get_mut(key) else { return };
+        if let State::Connecting(job) = link.state {
+            if !ready.writable {
+                return;
+            }
+            if link.stream.connected().is_err() {
+                return self.break_link(key, Outcome::ConnectFailed, io);
+            }
+            let server = link.server;
+            if !self.timely(server, &job, io.now) {
+                self.rest(key, io);
+                return self.ended(job, server, Outcome::Moot, None, io.now);
+            }
+            return self.write(key, job, io);
+        }
+        if ready.writable && link.stream.unwritten() > 0 && link.stream.flush().is_err() {
+            return self.broken(key, io);
+        }
+        if !ready.readable {
+            return;
+        }
+        let most = io.limits.value_bytes + io.limits.line_bytes;
+        let filled = link.stream.fill(most, io.limits.chunk_bytes, ready.ended);
+        if !link.stream.input().is_empty() {
+            if let Some(server) = self.fleet.get_mut(link.server) {
+                server.heard = io.now;
+            }
+            self.on_answer(key, io);
+        }
+        if self.links.get(key).is_some() && filled != Fill::Drained {
+            self.broken(key, io);
+        }
+    }
+
+    fn on_answer(&mut self, key: Key, io: &mut Io) {
+        let Some(link) = self.links.get_mut(key) else { return };
+        let State::Busy(job) = link.state else {
+            // An answer that nobody asked for: what follows could not be told apart.
+            return self.close_link(key, io);
+        };
+        let (value, used) = match resp::value(link.stream.input(), &io.limits) {
+            Ok(None) => return,
+            Ok(Some(found)) => found,
+            Err(wrong) => {
+                let server = link.server.0;
+                io.log.warn(io.now, format_args!("server {server}: malformed answer: {}", wrong.0));
+                return self.break_link(key, Outcome::Reset, io);
+            }
+        };
+        let (outcome, served, load) = match job.task {
+            Task::Attempt(..) => meaning(&value),
+            Task::Probe => {
+                let (outcome, load) = probe_meaning(&value);
+                (outcome, None, load)
+            }
+        };
+        if let Value::Error(text) = value {
+            if !text.starts_with(b"BUSY") && text != b"ERR failed" {
+                let text = String::from_utf8_lossy(text);
+                io.log.warn(io.now, format_args!("server {}: answered -{text}", link.server.0));
+            }
+        }
+        link.stream.take(used);
+        let server = link.server;
+        // Whole and alone, or the connection is of no further use.
+        let clean = link.stream.input().is_empty() && link.stream.unwritten() == 0;
+        if clean {
+            self.rest(key, io);
+        } else {
+            self.close_link(key, io);
+        }
+        self.ended(job, server, outcome, load, io.now);
+        if let (Task::Attempt(id, _), Some(value)) = (job.task, served) {
+            self.answer(id, Answer::Served(value));
+        }
+    }
+
+    /// Puts a connection that is up and free into its server's pool.
+    fn rest(&mut self, key: Key, io: &mut Io) {
+        let Some(link) = self.links.get_mut(key) else { return };
+        let server = self.fleet.get_mut(link.server).filter(|s| s.state == ServerState::Ready);
+        let Some(server) = server else { return self.close_link(key, io) };
+        link.state = State::Idle;
+        link.stream.trim(8 * io.limits.chunk_bytes);
+        io.deadlines.set(&mut link.due, Some(io.now + io.limits.link_idle), Party::Link(key));
+        server.idle.push(key);
+    }
+
+    /// A connection's deadline has come: not up, no answer, or idle for long.
+    pub fn on_link_due(&mut self, key: Key, io: &mut Io) {
+        let Some(link) = self.links.get_mut(key) else { return };
+        link.due = None;
+        let (server, unwritten) = (link.server, link.stream.unwritten());
+        match link.state {
+            State::Idle => self.close_link(key, io),
+            State::Connecting(_) => self.break_link(key, Outcome::ConnectFailed, io),
+            // We end it before its last byte: it never runs.
+            State::Busy(_) if unwritten > 0 => self.break_link(key, Outcome::ConnectFailed, io),
+            State::Busy(job) => {
+                self.break_link(key, Outcome::Timeout, io);
+                // Guards against a machine that vanished: its idle connections are silent too, and a request
+                // written there may have run, while a new connection tells at once that it never did.
+                let silent = self.fleet.get_mut(server).filter(|s| s.heard < job.begun);
+                let idle = silent.map(|s| std::mem::take(&mut s.idle)).unwrap_or_default();
+                for key in idle {
+                    self.close_link(key, io);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/ingress/src/routing/counter.rs
@@ -0,0 +1,259 @@
+//! Calls to the counter: pipelined on a few connections, each name always on the same one, so that its
+//! answers come in the order of the calls.
+
+use super::{Io, Party};
+use crate::limits::Limits;
+use crate::protocol::http;
+use crate::transport::{connect, Fill, Ready, Stream};
+use roseyard::{CountName, CountResult, Event};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The counter's connections.
+pub(super) struct Counter {
+    address: SocketAddr,
+    host: String,
+    timeout: Duration,
+    wires: Vec<Wire>,
+}
+
+#[derive(Default)]
+struct Wire {
+    stream: Option<Stream>,
+    up: bool,
+    calls: VecDeque<Call>,
+    /// Calls at the front whose time is over: told as unknown, their answers still to come.
+    late: usize,
+    /// Bytes ever put on this connection.
+    put: u64,
+    /// When it was last of use: bytes came, or the first of the calls out was written.
+    heard: Duration,
+    retry: Duration,
+    due: Option<Duration>,
+    dirty: bool,
+}
+
+struct Call {
+    name: CountName,
+    add: f64,
+    keep: Duration,
+    made: Duration,
+    /// Where the call's last byte stands among those put on the connection, once it is there.
+    end: Option<u64>,
+}
+
+impl Wire {
+    fn tell(call: &Call, result: CountResult, now: Duration, events: &mut VecDeque<Event>) {
+        let elapsed = now.saturating_sub(call.made);
+        events.push_back(Event::Counted { name: call.name, result, elapsed });
+    }
+
+    /// The connection is of no more use: each call on it ends, in order.
+    fn fail(&mut self, now: Duration, again: Duration, events: &mut VecDeque<Event>) {
+        let unwritten = self.stream.take().map_or(0, |s| s.unwritten() as u64);
+        let written = self.put - unwritten;
+        for call in self.calls.drain(..).skip(self.late) {
+            let sent = call.end.is_some_and(|end| end <= written);
+            let result = if sent { CountResult::Unknown } else { CountResult::NotAdded };
+            Wire::tell(&call, result, now, events);
+        }
+        (self.late, self.put, self.up, self.dirty) = (0, 0, false, false);
+        self.retry = now + again;
+    }
+
+    fn put_calls(&mut self, host: &str, now: Duration) {
+        let Some(stream) = self.stream.as_mut().filter(|_| self.up) else { return };
+        if self.calls.front().is_none_or(|c| c.end.is_none()) {
+            self.heard = now;
+        }
+        let first = self.calls.iter().rposition(|c| c.end.is_some()).map_or(0, |n| n + 1);
+        for call in self.calls.range_mut(first..) {
+            let before = stream.output().len();
+            let keep = call.keep.as_millis().max(1) as u64;
+            http::put_tally(stream.output(), host, call.name.0, call.add, keep);
+            self.put += (stream.output().len() - before) as u64;
+            call.end = Some(self.put);
+            self.dirty = true;
+        }
+    }
+
+    /// Sets the deadline that comes next: the first call's end, silence, or idleness.
+    fn arm(&mut self, n: usize, timeout: Duration, io: &mut Io) {
+        let call = self.calls.get(self.late).map(|c| c.made + timeout);
+        let silence = (self.late > 0).then_some(self.heard + io.limits.counter_silence);
+        let idle = (self.up && self.calls.is_empty()).then_some(self.heard + io.limits.counter_idle);
+        let opening = (self.stream.is_some() && !self.up).then_some(self.heard + io.limits.connect);
+        let next = [call, silence, idle, opening].into_iter().flatten().min();
+        io.deadlines.set(&mut self.due, next, Party::Counter(n as u32));
+    }
+}
+
+impl Counter {
+    pub fn new(address: SocketAddr, timeout: Duration, limits: &Limits) -> Counter {
+        let wires = (0..limits.counters.max(1)).map(|_| Wire::default()).collect();
+        Counter { address, host: address.to_string(), timeout, wires }
+    }
+
+    /// Makes a call. It ends in an event, at once if the counter cannot be reached just now.
+    pub fn call(
+        &mut self,
+        name: CountName,
+        add: f64,
+        keep: Duration,
+        io: &mut Io,
+        events: &mut VecDeque<Event>,
+    ) {
+        // Spreads names evenly, whatever they look like.
+        let mixed = name.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+        let n = mixed as usize % self.wires.len();
+        let wire = &mut self.wires[n];
+        let call = Call { name, add, keep, made: io.now, end: None };
+        // Guards against a counter that refuses: no call waits for one that was just not there.
+        let closed = wire.stream.is_none() && io.now < wire.retry;
+        if closed || wire.calls.len() >= io.limits.counter_calls || !add.is_finite() {
+            return Wire::tell(&call, CountResult::NotAdded, io.now, events);
+        }
+        wire.calls.push_back(call);
+        if wire.stream.is_none() {
+            (wire.heard, wire.up) = (io.now, false);
+            let opened = connect(&self.address, io.limits.chunk_bytes);
+            let opened = opened.and_then(|s| {
+                io.poller.add(s.fd(), Party::Counter(n as u32).token())?;
+                Ok(s)
+            });
+            match opened {
+                Ok(stream) => wire.stream = Some(stream),
+                Err(_) => return wire.fail(io.now, io.limits.counter_again, events),
+            }
+        }
+        wire.put_calls(&self.host, io.now);
+        wire.arm(n, self.timeout, io);
+    }
+
+    /// Writes all calls of this round.
+    pub fn flush(&mut self, io: &mut Io, events: &mut VecDeque<Event>) {
+        for n in 0..self.wires.len() {
+            let wire = &mut self.wires[n];
+            if !std::mem::take(&mut wire.dirty) {
+                continue;
+            }
+            if wire.stream.as_mut().is_some_and(|s| s.flush().is_err()) {
+                wire.fail(io.now, io.limits.counter_again, events);
+                wire.arm(n, self.timeout, io);
+            }
+        }
+    }
+
+    /// A connection is ready.
+    pub fn on_ready(&mut self, n: u32, ready: Ready, io: &mut Io, events: &mut VecDeque<Event>) {
+        let n = n as usize;
+        let Some(wire) = self.wires.get_mut(n) else { return };
+        let Some(stream) = &mut wire.stream else { return };
+        let mut good = true;
+        if !wire.up && ready.writable {
+            good = stream.connected().is_ok();
+            if good {
+                wire.up = true;
+                wire.put_calls(&self.host, io.now);
+                wire.heard = io.now;
+            }
+        }
+        let Some(stream) = wire.stream.as_mut().filter(|_| wire.up && good) else {
+            if !good {
+                wire.fail(io.now, io.limits.counter_again, events);
+                wire.arm(n, self.timeout, io);
+            }
+            return;
+        };
+        wire.dirty = false;
+        good = stream.flush().is_ok();
+        if good && ready.readable {
+            let filled = stream.fill(io.limits.list_bytes, io.limits.chunk_bytes, ready.ended);
+            good = self.take_answers(n, io, events) && matches!(filled, Fill::Drained | Fill::Limited);
+        }
+        let wire = &mut self.wires[n];
+        if !good {
+            // An idle connection that the counter closed says nothing about the counter.
+            let again = if wire.calls.is_empty() { Duration::ZERO } else { io.limits.counter_again };
+            wire.fail(io.now, again, events);
+        }
+        wire.arm(n, self.timeout, io);
+    }
+
+    /// Matches answers to calls, oldest first. False if the connection is of no more use.
+    fn take_answers(&mut self, n: usize, io: &Io, events: &mut VecDeque<Event>) -> bool {
+        let wire = &mut self.wires[n];
+        let Some(stream) = &mut wire.stream else { return false };
+        loop {
+            let ((head, body), used) = match http::answer(stream.input(), &io.limits) {
+                Ok(Some(found)) => found,
+                Ok(None) => return stream.input().len() < io.limits.value_bytes + io.limits.line_bytes,
+                Err(_) => return false,
+            };
+            let total = std::str::from_utf8(body).ok().and_then(|t| t.trim().parse::<f64>().ok());
+            let result = match (head.status, total.filter(|t| t.is_finite())) {
+                (100..=199, _) => None,
+                (200, Some(total)) => Some(CountResult::Total(total)),
+                (400 | 404 | 503, _) => Some(CountResult::NotAdded),
+                _ => Some(CountResult::Unknown),
+            };
+            stream.take(used);
+            wire.heard = io.now;
+            let Some(result) = result else { continue };
+            let Some(call) = wire.calls.pop_front() else { return false };
+            // A late answer is consumed: the module was told that this call's end is unknown.
+            if wire.late > 0 {
+                wire.late -= 1;
+            } else {
+                Wire::tell(&call, result, io.now, events);
+            }
+            if head.closes {
+                return false;
+            }
+        }
+    }
+
+    /// A deadline of a connection has come.
+    pub fn on_due(&mut self, n: u32, io: &mut Io, events: &mut VecDeque<Event>) {
+        let n = n as usize;
+        let Some(wire) = self.wires.get_mut(n) else { return };
+        wire.due = None;
+        while let Some(call) = wire.calls.get(wire.late).filter(|c| c.made + self.timeout <= io.now) {
+            if call.end.is_some() {
+                Wire::tell(call, CountResult::Unknown, io.now, events);
+                wire.late += 1;
+            } else {
+                // Never put on a connection: nothing was added, and nothing will be.
+                Wire::tell(call, CountResult::NotAdded, io.now, events);
+                wire.calls.remove(wire.late);
+            }
+        }
+        // Guards against a counter, or the way to it, that vanished: an open connection would stay silent for
+        // ever, and one that is never up too.
+        let quiet = io.now.saturating_sub(wire.heard);
+        let silent = wire.late > 0 && quiet >= io.limits.counter_silence;
+        let idle = wire.up && wire.calls.is_empty() && quiet >= io.limits.counter_idle;
+        let never = wire.stream.is_some() && !wire.up && quiet >= io.limits.connect;
+        if silent || idle || never {
+            wire.fail(io.now, Duration::ZERO, events);
+        }
+        wire.arm(n, self.timeout, io);
+    }
+}
+
+impl super::Core {
+    /// A connection to the counter is ready.
+    pub fn on_counter(&mut self, n: u32, ready: Ready, io: &mut Io) {
+        if let Some(counter) = &mut self.counter {
+            counter.on_ready(n, ready, io, &mut self.events);
+        }
+    }
+
+    /// A counter connection's deadline has come.
+    pub fn on_counter_due(&mut self, n: u32, io: &mut Io) {
+        if let Some(counter) = &mut self.counter {
+            counter.on_due(n, io, &mut self.events);
+        }
+    }
+}
--- /dev/null
+++ b/ingress/src/routing/discovery.rs
@@ -0,0 +1,129 @@
+//! The watch on discovery: one answer that stays open, a line for each change, an empty one every 2 s.
+
+use super::core::Core;
+use super::{Io, Party};
+use crate::protocol::http::{self, Body};
+use crate::protocol::list;
+use crate::transport::{connect, Fill, Ready, Stream};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The watch's connection.
+pub(super) struct Watch {
+    address: SocketAddr,
+    stream: Option<Stream>,
+    up: bool,
+    streaming: bool,
+    line: Vec<u8>,
+    due: Option<Duration>,
+    pub(super) told: bool,
+}
+
+impl Watch {
+    pub fn new(address: SocketAddr) -> Watch {
+        Watch { address, stream: None, up: false, streaming: false, line: Vec::new(), due: None, told: false }
+    }
+
+    /// Reads on; whole lines go to `lines`. An error says why the watch is of no more use.
+    fn read(&mut self, ready: Ready, io: &Io, lines: &mut Vec<Vec<u8>>) -> Result<(), &'static str> {
+        let limits = &io.limits;
+        let Some(stream) = &mut self.stream else { return Ok(()) };
+        if !self.up {
+            if !ready.writable {
+                return Ok(());
+            }
+            stream.connected().map_err(|_| "cannot connect")?;
+            self.up = true;
+        }
+        stream.flush().map_err(|_| "connection broke")?;
+        if !ready.readable {
+            return Ok(());
+        }
+        let filled = stream.fill(limits.list_bytes + limits.line_bytes, limits.chunk_bytes, ready.ended);
+        if !self.streaming {
+            match http::head(stream.input(), limits).map_err(|e| e.0)? {
+                Some((head, used)) if head.status == 200 && head.body == Body::Chunked => {
+                    stream.take(used);
+                    self.streaming = true;
+                }
+                Some(_) => return Err("not a watch"),
+                None => {}
+            }
+        }
+        while self.streaming {
+            let Some((chunk, used)) = http::chunk(stream.input(), limits).map_err(|e| e.0)? else { break };
+            if chunk.is_empty() {
+                return Err("watch ended");
+            }
+            for part in chunk.split_inclusive(|b| *b == b'\n') {
+                self.line.extend_from_slice(part);
+                if part.ends_with(b"\n") {
+                    lines.push(std::mem::take(&mut self.line));
+                }
+            }
+            if self.line.len() > limits.list_bytes {
+                return Err("line too long");
+            }
+            stream.take(used);
+        }
+        match filled {
+            Fill::Drained => Ok(()),
+            Fill::Limited => Err("chunk too long"),
+            Fill::Ended | Fill::Broken => Err("connection ended"),
+        }
+    }
+}
+
+impl Core {
+    /// Opens the watch after the version held.
+    pub(super) fn watch_open(&mut self, io: &mut Io) {
+        let watch = &mut self.watch;
+        (watch.up, watch.streaming) = (false, false);
+        watch.line.clear();
+        let opened = connect(&watch.address, io.limits.chunk_bytes).and_then(|s| {
+            io.poller.add(s.fd(), Party::Watch.token())?;
+            Ok(s)
+        });
+        watch.stream = opened.ok();
+        let wait = if watch.stream.is_some() { io.limits.list_silence } else { io.limits.list_again };
+        if let Some(stream) = &mut watch.stream {
+            http::put_watch(stream.output(), &watch.address.to_string(), self.fleet.rev);
+        }
+        io.deadlines.set(&mut watch.due, Some(io.now + wait), Party::Watch);
+    }
+
+    /// The watch is ready.
+    pub fn on_watch(&mut self, ready: Ready, io: &mut Io) {
+        let mut lines = Vec::new();
+        let state = self.watch.read(ready, io, &mut lines);
+        for mut line in lines {
+            io.deadlines.set(&mut self.watch.due, Some(io.now + io.limits.list_silence), Party::Watch);
+            if line.trim_ascii().is_empty() {
+                self.watch.told = true;
+                continue;
+            }
+            match list::decode(&mut line) {
+                Ok(list) => {
+                    self.watch.told = true;
+                    self.take_list(&list, io);
+                }
+                Err(e) => io.log.warn(io.now, format_args!("discovery: unreadable line: {e}")),
+            }
+        }
+        if let Err(why) = state {
+            io.log.warn(io.now, format_args!("discovery: {why}; calling again"));
+            self.watch.stream = None;
+            io.deadlines.set(&mut self.watch.due, Some(io.now + io.limits.list_again), Party::Watch);
+        }
+    }
+
+    /// Nothing came for too long, or it is time to call again.
+    pub fn on_watch_due(&mut self, io: &mut Io) {
+        self.watch.due = None;
+        if self.watch.stream.take().is_some() {
+            io.log
+                .warn(io.now, format_args!("discovery: silent; calling again after rev {}", self.fleet.rev));
+        }
+        self.watch_open(io);
+    }
+}
--- /dev/null
+++ b/ingress/src/routing/mod.rs
@@ -0,0 +1,91 @@
+//! Drives the module: what comes from sockets becomes its events, its actions become writes.
+//!
+//! [`Core`] knows customers, classes and plans, not the platform's words for them: a front hands it an
+//! [`Ask`] and is handed the [`Answer`]. [`front`] is the platform's.
+
+mod attempts;
+mod core;
+mod counter;
+mod discovery;
+mod fleet;
+pub mod front;
+
+pub use self::core::{Answer, Ask, Core, Start};
+pub use front::Front;
+
+use crate::limits::Limits;
+use crate::program::log::Log;
+use crate::transport::{Deadlines, Key, Poller};
+use std::time::Duration;
+
+/// Whom a readiness event or a deadline is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Party {
+    /// The listener.
+    Listener,
+    /// SIGTERM or SIGINT has come.
+    Signal,
+    /// The module's timer.
+    Module,
+    /// The watch on discovery.
+    Watch,
+    /// A connection to the counter, by number.
+    Counter(u32),
+    /// A connection to a server.
+    Link(Key),
+    /// A client's connection.
+    Client(Key),
+    /// Discovery has had its time: `PING` is answered.
+    Ready,
+    /// Draining: no longer accept, or no longer wait.
+    Drain,
+}
+
+const CLIENT: u64 = 1;
+const LINK: u64 = 2;
+const COUNTER: u64 = 3;
+const WATCH: u64 = 4;
+const LISTENER: u64 = 5;
+const SIGNAL: u64 = 6;
+
+impl Party {
+    /// The number that a socket of this party is registered with.
+    pub fn token(self) -> u64 {
+        let (kind, rest) = match self {
+            Party::Client(key) => (CLIENT, key.pack()),
+            Party::Link(key) => (LINK, key.pack()),
+            Party::Counter(n) => (COUNTER, u64::from(n)),
+            Party::Watch => (WATCH, 0),
+            Party::Listener => (LISTENER, 0),
+            Party::Signal | Party::Module | Party::Ready | Party::Drain => (SIGNAL, 0),
+        };
+        kind << 56 | rest
+    }
+
+    /// The party of a number.
+    pub fn of_token(token: u64) -> Party {
+        let rest = token & ((1 << 56) - 1);
+        match token >> 56 {
+            CLIENT => Party::Client(Key::unpack(rest)),
+            LINK => Party::Link(Key::unpack(rest)),
+            COUNTER => Party::Counter(rest as u32),
+            WATCH => Party::Watch,
+            LISTENER => Party::Listener,
+            _ => Party::Signal,
+        }
+    }
+}
+
+/// What all parts share: readiness, deadlines, the time of this round, the log.
+pub struct Io {
+    /// Readiness.
+    pub poller: Poller,
+    /// Deadlines.
+    pub deadlines: Deadlines<Party>,
+    /// The time of this round.
+    pub now: Duration,
+    /// The log.
+    pub log: Log,
+    /// Sizes, counts and times.
+    pub limits: Limits,
+}
--- /dev/null
+++ b/ingress/src/transport/deadlines.rs
@@ -0,0 +1,39 @@
+//! All deadlines of the program in one ordered structure.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Deadlines by time; each is named by what it is for.
+pub struct Deadlines<D> {
+    due: BTreeSet<(Duration, D)>,
+}
+
+impl<D: Ord + Copy> Default for Deadlines<D> {
+    fn default() -> Self {
+        Deadlines { due: BTreeSet::new() }
+    }
+}
+
+impl<D: Ord + Copy> Deadlines<D> {
+    /// Moves what stands at `slot` to `at`; the owner keeps the slot, so that a deadline can be taken back.
+    pub fn set(&mut self, slot: &mut Option<Duration>, at: Option<Duration>, what: D) {
+        if let Some(old) = slot.take() {
+            self.due.remove(&(old, what));
+        }
+        if let Some(at) = at {
+            self.due.insert((at, what));
+        }
+        *slot = at;
+    }
+
+    /// The earliest deadline.
+    pub fn next(&self) -> Option<Duration> {
+        self.due.first().map(|(at, _)| *at)
+    }
+
+    /// Takes out the earliest deadline if it is due. Its owner's slot still shows it.
+    pub fn pop(&mut self, now: Duration) -> Option<D> {
+        self.due.first().filter(|(at, _)| *at <= now)?;
+        self.due.pop_first().map(|(_, what)| what)
+    }
+}
--- /dev/null
+++ b/ingress/src/transport/mod.rs
@@ -0,0 +1,11 @@
+//! Sockets, readiness and buffers. Knows bytes and connections, not what they mean.
+
+pub mod deadlines;
+pub mod poller;
+pub mod slots;
+pub mod stream;
+
+pub use deadlines::Deadlines;
+pub use poller::{Poller, Ready};
+pub use slots::{Key, Slots};
+pub use stream::{accept, connect, is_fd_shortage, listen, Fill, Stream};
--- /dev/null
+++ b/ingress/src/transport/stream.rs
@@ -0,0 +1,158 @@
+//! Non-blocking TCP sockets with their buffers.
+
+use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
+use rustix::io::{self, Errno};
+use rustix::net::{self, sockopt, AddressFamily, SendFlags, Shutdown, SocketFlags, SocketType};
+use std::net::SocketAddr;
+
+/// What came of reading.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fill {
+    /// All there was has been read.
+    Drained,
+    /// As much as was allowed has been read; more may wait.
+    Limited,
+    /// The other side has ended its sending.
+    Ended,
+    /// The connection is broken.
+    Broken,
+}
+
+/// A connection with what was read and not yet taken, and what is to be written.
+pub struct Stream {
+    fd: OwnedFd,
+    input: Vec<u8>,
+    taken: usize,
+    output: Vec<u8>,
+    written: usize,
+}
+
+/// Did this call fail for want of descriptors or memory of the system?
+pub fn is_fd_shortage(error: Errno) -> bool {
+    matches!(error, Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM)
+}
+
+fn socket(to: &SocketAddr) -> io::Result<OwnedFd> {
+    let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    net::socket_with(family, SocketType::STREAM, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC, None)
+}
+
+/// Listens on this address alone.
+pub fn listen(at: &SocketAddr, backlog: i32) -> io::Result<OwnedFd> {
+    let fd = socket(at)?;
+    sockopt::set_socket_reuseaddr(&fd, true)?;
+    net::bind(&fd, at)?;
+    net::listen(&fd, backlog)?;
+    Ok(fd)
+}
+
+/// Takes the next connection that waits at a listener.
+pub fn accept(listener: impl AsFd, chunk: usize) -> io::Result<Stream> {
+    let fd = net::accept_with(listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC)?;
+    Stream::new(fd, chunk)
+}
+
+/// Begins a connection; it is up, or has failed, once it is writable.
+pub fn connect(to: &SocketAddr, chunk: usize) -> io::Result<Stream> {
+    let fd = socket(to)?;
+    match net::connect(&fd, to) {
+        Ok(()) | Err(Errno::INPROGRESS) => Stream::new(fd, chunk),
+        Err(e) => Err(e),
+    }
+}
+
+impl Stream {
+    fn new(fd: OwnedFd, chunk: usize) -> io::Result<Stream> {
+        sockopt::set_tcp_nodelay(&fd, true)?;
+        Ok(Stream { fd, input: Vec::with_capacity(chunk), taken: 0, output: Vec::new(), written: 0 })
+    }
+
+    /// The socket.
+    pub fn fd(&self) -> BorrowedFd<'_> {
+        self.fd.as_fd()
+    }
+
+    /// How a connection that was begun has turned out.
+    pub fn connected(&self) -> Result<(), Errno> {
+        sockopt::socket_error(&self.fd)?
+    }
+
+    /// What was read and not yet taken.
+    pub fn input(&self) -> &[u8] {
+        &self.input[self.taken..]
+    }
+
+    /// Takes so many bytes of the input.
+    pub fn take(&mut self, bytes: usize) {
+        self.taken = (self.taken + bytes).min(self.input.len());
+        if self.taken == self.input.len() {
+            self.input.clear();
+            self.taken = 0;
+        }
+    }
+
+    /// Reads until nothing waits or `limit` bytes are held. `ended` says that an end was told of: only then
+    /// is a short read followed by another, as readiness is told anew for whatever comes later.
+    pub fn fill(&mut self, limit: usize, chunk: usize, ended: bool) -> Fill {
+        loop {
+            if self.input.len() - self.taken >= limit {
+                return Fill::Limited;
+            }
+            if self.taken > 0 {
+                self.input.drain(..self.taken);
+                self.taken = 0;
+            }
+            if self.input.capacity() - self.input.len() < chunk / 2 {
+                self.input.reserve(chunk);
+            }
+            let room = self.input.capacity() - self.input.len();
+            match io::read(&self.fd, rustix::buffer::spare_capacity(&mut self.input)) {
+                Ok(0) => return Fill::Ended,
+                Ok(n) if n < room && !ended => return Fill::Drained,
+                Ok(_) | Err(Errno::INTR) => {}
+                Err(Errno::AGAIN) => return Fill::Drained,
+                Err(_) => return Fill::Broken,
+            }
+        }
+    }
+
+    /// Bytes are appended here and go out with the next `flush`.
+    pub fn output(&mut self) -> &mut Vec<u8> {
+        &mut self.output
+    }
+
+    /// Bytes still to be written.
+    pub fn unwritten(&self) -> usize {
+        self.output.len() - self.written
+    }
+
+    /// Writes what the socket takes; how many bytes are still to be written.
+    pub fn flush(&mut self) -> io::Result<usize> {
+        while self.written < self.output.len() {
+            match net::send(&self.fd, &self.output[self.written..], SendFlags::NOSIGNAL) {
+                Ok(n) => self.written += n,
+                Err(Errno::INTR) => {}
+                Err(Errno::AGAIN) => return Ok(self.unwritten()),
+                Err(e) => return Err(e),
+            }
+        }
+        self.output.clear();
+        self.written = 0;
+        Ok(0)
+    }
+
+    /// Gives back what a large message made the buffers grow to, once they are empty.
+    pub fn trim(&mut self, keep: usize) {
+        if self.output.is_empty() && self.output.capacity() > keep {
+            self.output = Vec::new();
+        }
+        if self.input.is_empty() && self.input.capacity() > keep {
+            self.input = Vec::with_capacity(keep);
+        }
+    }
+
+    /// Ends the sending; what was written still arrives.
+    pub fn end_sending(&self) -> io::Result<()> {
+        net::shutdown(&self.fd, Shutdown::Write)
+    }
+}
--- /dev/null
+++ b/settings/src/lib.rs
@@ -0,0 +1,243 @@
+//! The settings that a platform hands an ingress, decoded once for every embedder of the module: the bench's
+//! adapter receives them as a text of their own, the real ingress inside its configuration. Unknown keys are
+//! ignored.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+use roseyard::{Class, Counter, DedupGroup, Discovery, Effect, Guarantees, Limits, Plan, Settings};
+use serde::Deserialize;
+use std::time::Duration;
+
+/// The settings as the platform words them.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct Options {
+    az: u16,
+    balancers: u32,
+    ceilings: Ceilings,
+    classes: Vec<WireClass>,
+    discovery: String,
+    domain: Domain,
+    #[serde(default)]
+    failure_domains: Vec<String>,
+    granularity_ms: f64,
+    guarantees: WireGuarantees,
+    report: Report,
+    tiers_of_service: Vec<WirePlan>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Ceilings {
+    cancel: bool,
+    #[serde(default)]
+    conn_idle_ms: f64,
+    #[serde(default)]
+    connect_timeout_ms: f64,
+    max_attempts: u32,
+    #[serde(default)]
+    max_open: usize,
+    max_retry_after_ms: f64,
+    may_duplicate: bool,
+    probes: bool,
+    retry_after: bool,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireClass {
+    #[serde(default)]
+    aim_stretch: f64,
+    deadline_ms: f64,
+    effect: String,
+    group: String,
+    late_worth: f64,
+    #[serde(default)]
+    name: String,
+    stream: bool,
+    target_ms: f64,
+    window_ms: f64,
+    worth: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Domain {
+    counter_timeout_ms: f64,
+    metering_ms: f64,
+    shared_counter: bool,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WireGuarantees {
+    start_capacity: f64,
+    stop_sending_within_ms: f64,
+    tip_after_ms: f64,
+    tip_multiple: f64,
+    warm_within_ms: f64,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Report {
+    fields: Vec<String>,
+    via: String,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WirePlan {
+    beyond_costs: f64,
+    cap_depth: f64,
+    cap_slack: f64,
+    excess_worth: f64,
+    max_out: u32,
+    most_at_once: f64,
+    #[serde(default)]
+    name: String,
+    never_over_rate: f64,
+    rate: f64,
+    value_factor: f64,
+}
+
+/// Milliseconds of the wire as a duration, on its grid of microseconds; what is not a time reads as none.
+pub fn ms(value: f64) -> Duration {
+    if !value.is_finite() || value <= 0.0 {
+        return Duration::ZERO;
+    }
+    Duration::from_micros((value * 1000.0).round().min(1e15) as u64)
+}
+
+fn required(name: &str, value: f64) -> Result<Duration, String> {
+    if value.is_finite() && value > 0.0 {
+        Ok(ms(value))
+    } else {
+        Err(format!("{name}: {value} is not a time"))
+    }
+}
+
+fn class(c: &WireClass) -> Result<Class, String> {
+    let group = match c.group.as_str() {
+        "all" => DedupGroup::All,
+        "zone" => DedupGroup::Zone,
+        "cell" => DedupGroup::Cell,
+        other => return Err(format!("Classes[].Group: unknown value '{other}'")),
+    };
+    let effect = match c.effect.as_str() {
+        "read_like" => Effect::Safe,
+        "idempotency_key" => Effect::Keyed { group, window: required("Classes[].WindowMs", c.window_ms)? },
+        "non_idempotent" => Effect::Unsafe,
+        other => return Err(format!("Classes[].Effect: unknown value '{other}'")),
+    };
+    Ok(Class {
+        aim: required("Classes[].TargetMs", c.target_ms)?,
+        aim_stretch: c.aim_stretch,
+        deadline: required("Classes[].DeadlineMs", c.deadline_ms)?,
+        worth: c.worth,
+        late_worth: c.late_worth,
+        effect,
+        streamed: c.stream,
+    })
+}
+
+impl Options {
+    /// Decodes the settings' text.
+    pub fn parse(text: &[u8]) -> Result<Options, String> {
+        simd_json::serde::from_slice(&mut text.to_vec()).map_err(|e| e.to_string())
+    }
+
+    /// Names of the values in a load report, in their order.
+    pub fn report_fields(&self) -> &[String] {
+        &self.report.fields
+    }
+
+    /// Names of the request classes, by index.
+    pub fn class_names(&self) -> Vec<&str> {
+        self.classes.iter().map(|c| c.name.as_str()).collect()
+    }
+
+    /// Names of the plans, by index.
+    pub fn plan_names(&self) -> Vec<&str> {
+        self.tiers_of_service.iter().map(|p| p.name.as_str()).collect()
+    }
+
+    /// Names of the zones, by index.
+    pub fn zone_names(&self) -> &[String] {
+        &self.failure_domains
+    }
+
+    /// Servers close idle connections after this long; none where the settings say nothing.
+    pub fn idle_connection(&self) -> Option<Duration> {
+        Some(ms(self.ceilings.conn_idle_ms)).filter(|d| !d.is_zero())
+    }
+
+    /// A connection that is not up by then has failed.
+    pub fn connect_timeout(&self) -> Option<Duration> {
+        Some(ms(self.ceilings.connect_timeout_ms)).filter(|d| !d.is_zero())
+    }
+
+    /// The longest time that a client waits.
+    pub fn longest_deadline(&self) -> Duration {
+        self.classes.iter().map(|c| ms(c.deadline_ms)).max().unwrap_or_default()
+    }
+
+    /// Most requests held open at once.
+    pub fn max_open(&self) -> Option<usize> {
+        Some(self.ceilings.max_open).filter(|n| *n > 0)
+    }
+
+    /// The module's settings.
+    pub fn settings(&self) -> Result<Settings, String> {
+        let o = self;
+        let discovery = match o.discovery.as_str() {
+            "automatic" => Discovery::Push,
+            "subscribe" => Discovery::Ask,
+            other => return Err(format!("Discovery: unknown value '{other}'")),
+        };
+        let counter = match o.domain.shared_counter {
+            true => {
+                Some(Counter { timeout: required("Domain.CounterTimeoutMs", o.domain.counter_timeout_ms)? })
+            }
+            false => None,
+        };
+        let plan = |p: &WirePlan| Plan {
+            rate: p.rate,
+            burst: p.most_at_once,
+            max_open: p.max_out,
+            ceiling_rate: p.never_over_rate,
+            ceiling_burst: p.cap_depth,
+            ceiling_slack: p.cap_slack,
+            price: p.value_factor,
+            excess_worth: p.excess_worth,
+            excess_cost: p.beyond_costs,
+        };
+        let settings = Settings {
+            gateways: o.balancers,
+            zone: o.az,
+            tick: ms(o.granularity_ms),
+            classes: o.classes.iter().map(class).collect::<Result<_, _>>()?,
+            plans: o.tiers_of_service.iter().map(plan).collect(),
+            counter,
+            meter_period: (o.domain.metering_ms > 0.0).then(|| ms(o.domain.metering_ms)),
+            reports_on_probe: o.report.via == "on_probe",
+            discovery,
+            limits: Limits {
+                max_attempts: o.ceilings.max_attempts,
+                cancel: o.ceilings.cancel,
+                duplicates: o.ceilings.may_duplicate,
+                probes: o.ceilings.probes,
+                retry_advice: o.ceilings.retry_after,
+                max_retry_advice: ms(o.ceilings.max_retry_after_ms),
+            },
+            guarantees: Guarantees {
+                cold_share: o.guarantees.start_capacity,
+                warm_within: ms(o.guarantees.warm_within_ms),
+                tip_multiple: o.guarantees.tip_multiple,
+                tip_after: ms(o.guarantees.tip_after_ms),
+                drain_grace: ms(o.guarantees.stop_sending_within_ms),
+            },
+        };
+        Ok(settings)
+    }
+}
