--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -64,7 +64,7 @@
     pub drain_accept: Duration,
     /// A connection whose sending we ended is closed after this at the latest.
     pub linger: Duration,
-    /// The process ends this long after SIGTERM at the latest.
+    /// The process ends this long after it has stopped accepting at the latest.
     pub drain: Duration,
     /// Log lines a second; further ones are counted.
     pub log_lines: u32,
@@ -111,7 +111,7 @@
             client_stall: ms(10_000),
             drain_accept: ms(600),
             linger: ms(500),
-            drain: longest.max(ms(3000)) + ms(500),
+            drain: longest.max(ms(3000)),
             log_lines: 50,
         }
     }
--- a/ingress/src/program/mod.rs
+++ b/ingress/src/program/mod.rs
@@ -11,38 +11,56 @@
 use config::Config;
 use log::Log;
 use std::io::Read;
+use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::time::Duration;
 
-/// The program's state between two rounds.
-struct Program {
+/// An ingress between two rounds.
+pub struct Program {
     io: Io,
-    clock: Clock,
     core: Core,
     front: Front,
-    signals: UnixStream,
-    /// When the next step of the drain is due, once SIGTERM has come; when the last one is.
-    drain: Option<Duration>,
-    last: Option<Duration>,
+    signals: Option<UnixStream>,
+    phase: Phase,
+    /// When `PING` is answered at the latest, and when the drain's next step is due.
     ready_due: Option<Duration>,
+    drain_due: Option<Duration>,
     /// Room for a round's news, kept from round to round.
     ready: Vec<Ready>,
     answers: Vec<((Key, u64), Answer)>,
 }
 
+/// How far the end of the process has come.
+#[derive(Clone, Copy, PartialEq)]
+enum Phase {
+    Serving,
+    /// SIGTERM has come; connections are still accepted.
+    Leaving,
+    /// Nothing new is accepted; what is held is finished.
+    Draining,
+    /// The time is over.
+    Over,
+}
+
 /// Runs an ingress until SIGTERM or SIGINT has been served.
 pub fn run() -> Result<(), String> {
     let clock = Clock::start();
     let config = Config::read()?;
-    let mut program = Program::start(config, clock)?;
-    while program.round()? {}
-    let now = program.clock.now();
-    program.io.log.info(now, format_args!("stopped: {} requests open", program.core.open_requests()));
-    Ok(())
+    let mut program = Program::start(&config, clock)?;
+    program.watch_signals()?;
+    loop {
+        let wait = program.next_due().map(|at| at.saturating_sub(clock.now()));
+        if !program.round(wait, || clock.now())? {
+            let left = program.core.open_requests();
+            program.io.log.info(clock.now(), format_args!("stopped, {left} requests open"));
+            return Ok(());
+        }
+    }
 }
 
 impl Program {
-    fn start(config: Config, clock: Clock) -> Result<Program, String> {
+    /// Listens, and opens the watch on discovery.
+    pub fn start(config: &Config, clock: Clock) -> Result<Program, String> {
         let options = &config.settings;
         let limits = Limits::new(config.limits.sockets, config.limits.memory_mb, options);
         let poller = Poller::new(limits.batch).map_err(|e| format!("epoll: {e}"))?;
@@ -50,13 +68,6 @@
         let mut io = Io { poller, deadlines: Deadlines::default(), now: clock.now(), log, limits };
         let listener = listen(&config.listen, limits.backlog)
             .map_err(|e| format!("listen on {}: {e}", config.listen))?;
-        let (signals, sender) = UnixStream::pair().map_err(|e| format!("signals: {e}"))?;
-        signals.set_nonblocking(true).map_err(|e| format!("signals: {e}"))?;
-        for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-            let sender = sender.try_clone().map_err(|e| format!("signals: {e}"))?;
-            signal_hook::low_level::pipe::register(signal, sender).map_err(|e| format!("signals: {e}"))?;
-        }
-        io.poller.add_level(&signals, Party::Signal.token()).map_err(|e| format!("signals: {e}"))?;
         let owned = |names: Vec<&str>| names.into_iter().map(str::to_owned).collect();
         let names = Names { classes: owned(options.class_names()), plans: owned(options.plan_names()) };
         let front = Front::new(listener, names, &io).map_err(|e| format!("listen: {e}"))?;
@@ -68,32 +79,67 @@
             discovery: config.discovery,
             counter: config.counter,
         };
-        io.log.info(io.now, format_args!("{}: listening on {}", config.name, config.listen));
+        if let Some(at) = front.address() {
+            io.log.info(io.now, format_args!("{}: listening on {at}", config.name));
+        }
         let core = Core::new(start, &config.known, &mut io).map_err(|e| format!("settings: {e}"))?;
         let mut ready_due = None;
         let at = io.now + io.limits.ready;
         io.deadlines.set(&mut ready_due, Some(at), Party::Ready);
         Ok(Program {
             io,
-            clock,
             core,
             front,
-            signals,
-            drain: None,
-            last: None,
+            signals: None,
+            phase: Phase::Serving,
             ready_due,
+            drain_due: None,
             ready: Vec::new(),
             answers: Vec::new(),
         })
     }
 
-    /// Waits, takes in what came, tells the module, writes what is to go out. False once all is done.
-    fn round(&mut self) -> Result<bool, String> {
+    /// From now on SIGTERM and SIGINT begin the drain.
+    pub fn watch_signals(&mut self) -> Result<(), String> {
+        let wrong = |e: std::io::Error| format!("signals: {e}");
+        let (signals, sender) = UnixStream::pair().map_err(wrong)?;
+        signals.set_nonblocking(true).map_err(wrong)?;
+        for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+            let sender = sender.try_clone().map_err(wrong)?;
+            signal_hook::low_level::pipe::register(signal, sender).map_err(wrong)?;
+        }
+        self.io.poller.add_level(&signals, Party::Signal.token()).map_err(|e| wrong(e.into()))?;
+        self.signals = Some(signals);
+        Ok(())
+    }
+
+    /// Where clients connect.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.front.address()
+    }
+
+    /// Version of the list of servers held.
+    pub fn list_version(&self) -> u64 {
+        self.core.list_version()
+    }
+
+    /// The earliest deadline.
+    pub fn next_due(&self) -> Option<Duration> {
+        self.io.deadlines.next()
+    }
+
+    /// Requests held, connections to servers, and clients.
+    pub fn open(&self) -> (usize, usize, usize) {
+        (self.core.open_requests(), self.core.open_links(), self.front.len())
+    }
+
+    /// Waits, takes in what came, tells the module, writes what is to go out; `now` is read after the wait.
+    /// False once all is done.
+    pub fn round(&mut self, wait: Option<Duration>, now: impl FnOnce() -> Duration) -> Result<bool, String> {
         let mut ready = std::mem::take(&mut self.ready);
         let mut answers = std::mem::take(&mut self.answers);
-        let timeout = self.io.deadlines.next().map(|at| at.saturating_sub(self.clock.now()));
-        self.io.poller.wait(timeout, &mut ready).map_err(|e| format!("epoll: {e}"))?;
-        self.io.now = self.clock.now();
+        self.io.poller.wait(wait, &mut ready).map_err(|e| format!("epoll: {e}"))?;
+        self.io.now = now();
         for event in ready.drain(..) {
             self.on_ready(event);
         }
@@ -103,6 +149,7 @@
         }
         if !self.front.ready && (self.core.told() || self.ready_due.is_none()) {
             self.front.ready = true;
+            self.io.deadlines.set(&mut self.ready_due, None, Party::Ready);
             self.io.log.info(self.io.now, format_args!("ready"));
         }
         loop {
@@ -117,9 +164,31 @@
             }
         }
         (self.ready, self.answers) = (ready, answers);
-        let drained = self.last.is_some_and(|at| self.io.now >= at);
-        let closing = self.last.is_some() && self.drain.is_none();
-        Ok(!(drained || closing && self.front.is_empty() && self.core.open_requests() == 0))
+        let idle = self.front.is_empty() && self.core.open_requests() == 0;
+        Ok(!(self.phase == Phase::Over || self.phase == Phase::Draining && idle))
+    }
+
+    /// Begins the end: accepts for a while, then finishes what is held.
+    pub fn leave(&mut self) {
+        if self.phase == Phase::Serving {
+            self.phase = Phase::Leaving;
+            let io = &mut self.io;
+            io.log.info(io.now, format_args!("leaving: {} requests open", self.core.open_requests()));
+            io.deadlines.set(&mut self.drain_due, Some(io.now + io.limits.drain_accept), Party::Drain);
+        }
+    }
+
+    fn on_drain_due(&mut self) {
+        self.drain_due = None;
+        let (core, io) = (&mut self.core, &mut self.io);
+        if self.phase == Phase::Leaving {
+            self.phase = Phase::Draining;
+            self.front.drain(core, io);
+            io.log.info(io.now, format_args!("draining: no longer accepting, {} clients", self.front.len()));
+            io.deadlines.set(&mut self.drain_due, Some(io.now + io.limits.drain), Party::Drain);
+        } else {
+            self.phase = Phase::Over;
+        }
     }
 
     fn on_ready(&mut self, event: Ready) {
@@ -144,31 +213,15 @@
             Party::Watch => core.on_watch_due(io),
             Party::Listener => self.front.on_listener_due(core, io),
             Party::Ready => self.ready_due = None,
-            Party::Drain => {
-                self.drain = None;
-                self.front.drain(core, io);
-                io.log.info(
-                    io.now,
-                    format_args!("draining: no longer accepting, {} clients", self.front.len()),
-                );
-                io.deadlines.set(&mut self.drain, None, Party::Drain);
-                if let Some(at) = self.last {
-                    // Wakes the loop for the last time at the latest.
-                    io.deadlines.set(&mut self.ready_due, Some(at), Party::Ready);
-                }
-            }
+            Party::Drain => self.on_drain_due(),
             Party::Signal => {}
         }
     }
 
     fn on_signal(&mut self) {
         let mut bytes = [0; 16];
-        while matches!(self.signals.read(&mut bytes), Ok(n) if n > 0) {}
-        if self.last.is_none() {
-            let io = &mut self.io;
-            io.log.info(io.now, format_args!("draining: {} requests open", self.core.open_requests()));
-            self.last = Some(io.now + io.limits.drain);
-            io.deadlines.set(&mut self.drain, Some(io.now + io.limits.drain_accept), Party::Drain);
-        }
+        let Some(signals) = &mut self.signals else { return };
+        while matches!(signals.read(&mut bytes), Ok(n) if n > 0) {}
+        self.leave();
     }
 }
--- a/ingress/src/routing/attempts.rs
+++ b/ingress/src/routing/attempts.rs
@@ -159,8 +159,8 @@
         match job.task {
             Task::Attempt(id, _) => {
                 let Some(request) = self.requests.get(Key::unpack(id.0)) else { return };
-                let wait = (job.give_up - io.now).as_millis().max(1) as u64;
-                request.command.put(wait, link.stream.output());
+                let wait = (job.give_up - io.now).as_secs_f64() * 1000.0;
+                request.command.put(wait.round().max(1.0) as u64, link.stream.output());
             }
             Task::Probe => link.stream.output().extend_from_slice(b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n"),
         }
--- a/ingress/src/routing/core.rs
+++ b/ingress/src/routing/core.rs
@@ -123,6 +123,11 @@
         self.watch.told
     }
 
+    /// Version of the list of servers held.
+    pub fn list_version(&self) -> u64 {
+        self.fleet.rev
+    }
+
     /// Requests without a final answer or with an attempt out.
     pub fn open_requests(&self) -> usize {
         self.requests.len()
--- a/ingress/src/routing/front.rs
+++ b/ingress/src/routing/front.rs
@@ -4,11 +4,12 @@
 use super::{Io, Party};
 use crate::protocol::command::{self, Held};
 use crate::protocol::resp;
-use crate::transport::{accept, is_fd_shortage, Fill, Key, Ready, Slots, Stream};
+use crate::transport::{accept, is_fd_shortage, listening_at, Fill, Key, Ready, Slots, Stream};
 use roseyard::CustomerId;
 use rustix::fd::OwnedFd;
 use rustix::io::Errno;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// The answer to one command.
@@ -122,6 +123,11 @@
         })
     }
 
+    /// Where it listens.
+    pub fn address(&self) -> Option<SocketAddr> {
+        listening_at(self.listener.as_ref()?)
+    }
+
     /// Clients connected.
     pub fn len(&self) -> usize {
         self.clients.len()
@@ -135,7 +141,7 @@
     /// Connections wait at the listener.
     pub fn accept(&mut self, core: &mut Core, io: &mut Io) {
         while self.listener.is_some() {
-            if self.clients.len() >= io.limits.clients && !self.evict(io) {
+            if self.clients.len() > io.limits.clients && !self.evict(None, io) {
                 return self.pause(io);
             }
             let Some(listener) = &self.listener else { return };
@@ -157,12 +163,17 @@
                     if client.is_some_and(|c| io.poller.add(c.stream.fd(), token).is_err()) {
                         self.clients.remove(key);
                     }
+                    // Room is made once a connection has come, not before: guards against closing the one
+                    // just taken in for a next one that does not exist.
+                    if self.clients.len() > io.limits.clients {
+                        self.evict(Some(key), io);
+                    }
                 }
                 Err(Errno::AGAIN) => return,
                 Err(Errno::INTR | Errno::CONNABORTED) => {}
                 // Guards against a loop that spins on a listener it has no descriptor to serve.
                 Err(e) if is_fd_shortage(e) => {
-                    if !core.evict_idle(io) && !self.evict(io) {
+                    if !core.evict_idle(io) && !self.evict(None, io) {
                         io.log.warn(io.now, format_args!("clients: no descriptor left; accepting later"));
                         return self.pause(io);
                     }
@@ -192,9 +203,9 @@
     }
 
     /// Closes the connection that has been between requests for longest.
-    fn evict(&mut self, io: &mut Io) -> bool {
+    fn evict(&mut self, but: Option<Key>, io: &mut Io) -> bool {
         let free = |c: &Client| c.pending.is_empty() && c.stream.unwritten() == 0;
-        let idle = self.clients.iter().filter(|(_, c)| free(c));
+        let idle = self.clients.iter().filter(|(key, c)| Some(*key) != but && free(c));
         let Some((key, _)) = idle.min_by_key(|(_, c)| c.used) else { return false };
         self.close(key, io);
         true
--- a/ingress/src/transport/stream.rs
+++ b/ingress/src/transport/stream.rs
@@ -46,6 +46,11 @@
     Ok(fd)
 }
 
+/// The address that a listener was given.
+pub fn listening_at(listener: impl AsFd) -> Option<SocketAddr> {
+    net::getsockname(listener).ok()?.try_into().ok()
+}
+
 /// Takes the next connection that waits at a listener.
 pub fn accept(listener: impl AsFd, chunk: usize) -> io::Result<Stream> {
     let fd = net::accept_with(listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC)?;
--- /dev/null
+++ b/ingress/tests/common/mod.rs
@@ -0,0 +1,353 @@
+//! The one helper of the socket tests: an ingress in this process under a clock that the test moves, and the
+//! parties around it, each a listener on loopback whose every byte the test decides.
+#![allow(dead_code)]
+
+use roseyard_ingress::clock::Clock;
+use roseyard_ingress::limits::Limits;
+use roseyard_ingress::program::{config::Config, Program};
+use roseyard_ingress::protocol::resp;
+use roseyard_settings::Options;
+use std::collections::BTreeMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// Real time after which an awaited event is taken as never coming.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub const SETTINGS: &str = r#"{"Az":0,"Balancers":1,"Ceilings":{"Cancel":true,"ConnIdleMs":15000.0,
+"ConnectTimeoutMs":250.0,"MaxAttempts":4,"MaxOpen":20000,"MaxRetryAfterMs":1000.0,"MayDuplicate":false,
+"Probes":false,"RetryAfter":true},"Classes":[{"DeadlineMs":4000.0,"Effect":"read_like","Group":"all",
+"LateWorth":0.2,"Name":"form-load","Stream":false,"TargetMs":1200.0,"WindowMs":5000.0,"Worth":1.0},
+{"DeadlineMs":4000.0,"Effect":"idempotency_key","Group":"cell","LateWorth":0.0,"Name":"submit","Stream":false,
+"TargetMs":1000.0,"WindowMs":8000.0,"Worth":2.0}],"Discovery":"automatic","Domain":{"CounterTimeoutMs":30.0,
+"MeteringMs":0.0,"SharedCounter":true},"FailureDomains":["dc"],"GranularityMs":2.0,"Guarantees":{
+"StartCapacity":0.15,"StopSendingWithinMs":2000.0,"TipAfterMs":3000.0,"TipMultiple":3.0,"WarmWithinMs":15000.0},
+"Report":{"Fields":["cpu_share"],"Via":"on_probe"},"TiersOfService":[{"BeyondCosts":1.0,"CapDepth":0.0,
+"CapSlack":0.0,"ExcessWorth":0.0,"MaxOut":0,"MostAtOnce":8.0,"Name":"seedling","NeverOverRate":0.0,"Rate":2.0,
+"ValueFactor":1.0}]}"#;
+
+/// The limits of an ordinary machine under these settings.
+pub fn limits() -> Limits {
+    Limits::new(1024, 192, &Options::parse(SETTINGS.as_bytes()).unwrap())
+}
+
+/// One end of a connection that never blocks.
+pub struct End {
+    stream: TcpStream,
+    pub input: Vec<u8>,
+    pub open: bool,
+}
+
+impl End {
+    pub fn new(stream: TcpStream) -> End {
+        stream.set_nonblocking(true).unwrap();
+        stream.set_nodelay(true).unwrap();
+        End { stream, input: Vec::new(), open: true }
+    }
+
+    pub fn connect(to: SocketAddr) -> End {
+        End::new(TcpStream::connect(to).unwrap())
+    }
+
+    /// Takes in what has come.
+    pub fn read(&mut self) {
+        let mut buf = [0; 4096];
+        while self.open {
+            match self.stream.read(&mut buf) {
+                Ok(0) => self.open = false,
+                Ok(n) => self.input.extend_from_slice(&buf[..n]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(_) => self.open = false,
+            }
+        }
+    }
+
+    /// The tests' messages are small: loopback takes them whole.
+    pub fn send(&mut self, bytes: impl AsRef<[u8]>) {
+        let _ = self.stream.write_all(bytes.as_ref());
+    }
+
+    /// Ends the connection.
+    pub fn hang_up(&mut self) {
+        let _ = self.stream.shutdown(std::net::Shutdown::Both);
+        self.open = false;
+    }
+
+    /// Takes the next whole command, if one has come.
+    pub fn command(&mut self) -> Option<Vec<String>> {
+        let (words, used) = resp::command(&self.input, &limits()).expect("a well-formed command")?;
+        let words = words.get().iter().map(|w| String::from_utf8_lossy(w).into_owned()).collect();
+        self.input.drain(..used);
+        Some(words)
+    }
+
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(&self.input).unwrap()
+    }
+}
+
+/// A party that listens.
+pub struct Party {
+    listener: Option<TcpListener>,
+    waiting: Vec<roseyard_ingress::transport::Stream>,
+    pub address: SocketAddr,
+    pub ends: Vec<End>,
+}
+
+impl Party {
+    pub fn new() -> Party {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        let address = listener.local_addr().unwrap();
+        Party { address, listener: Some(listener), waiting: Vec::new(), ends: Vec::new() }
+    }
+
+    /// The listener's queue is full: connections stay in the making until `empty`.
+    pub fn fill_up(&mut self) {
+        rustix::net::listen(self.listener.as_ref().unwrap(), 0).unwrap();
+        self.waiting =
+            (0..2).map(|_| roseyard_ingress::transport::connect(&self.address, 64).unwrap()).collect();
+    }
+
+    /// From now on all that waits is accepted.
+    pub fn empty(&mut self) {
+        self.waiting.clear();
+    }
+
+    /// The listener, for a thread that serves it.
+    pub fn blocking(&self) -> TcpListener {
+        let listener = self.listener.as_ref().unwrap().try_clone().unwrap();
+        listener.set_nonblocking(false).unwrap();
+        listener
+    }
+
+    fn accepting(&self) -> Option<&TcpListener> {
+        self.listener.as_ref().filter(|_| self.waiting.is_empty())
+    }
+
+    /// Accepts what waits and reads everything.
+    pub fn read(&mut self) {
+        while let Some((stream, _)) = self.accepting().and_then(|l| l.accept().ok()) {
+            self.ends.push(End::new(stream));
+        }
+        self.ends.iter_mut().for_each(End::read);
+    }
+
+    /// The process is gone: connections are reset and refused.
+    pub fn die(&mut self) {
+        self.listener = None;
+        self.ends.clear();
+    }
+
+    /// The next whole command on any connection, with the connection's number.
+    pub fn command(&mut self) -> Option<(usize, Vec<String>)> {
+        self.ends.iter_mut().enumerate().find_map(|(n, end)| Some((n, end.command()?)))
+    }
+}
+
+/// What the counter does with calls.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Counting {
+    Answers,
+    TurnsAway,
+    Silent,
+}
+
+/// The counter: answers calls in order with true totals.
+pub struct Counter {
+    pub party: Party,
+    pub counting: Counting,
+    pub totals: BTreeMap<String, f64>,
+    pub calls: Vec<String>,
+}
+
+impl Counter {
+    pub fn new() -> Counter {
+        let (party, counting) = (Party::new(), Counting::Answers);
+        Counter { party, counting, totals: BTreeMap::new(), calls: Vec::new() }
+    }
+
+    pub fn serve(&mut self) {
+        self.party.read();
+        for end in self.party.ends.iter_mut().filter(|_| self.counting != Counting::Silent) {
+            while let Some(at) = end.input.windows(4).position(|w| w == b"\r\n\r\n") {
+                let head: Vec<u8> = end.input.drain(..at + 4).collect();
+                let head = String::from_utf8(head).unwrap();
+                let call = head.strip_prefix("POST /tally/").expect("a call").split(' ').next().unwrap();
+                let (name, rest) = call.split_once("?n=").unwrap();
+                let add: f64 = rest.split('&').next().unwrap().parse().unwrap();
+                self.calls.push(name.to_owned());
+                if self.counting == Counting::TurnsAway {
+                    end.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                    continue;
+                }
+                let total = self.totals.entry(name.to_owned()).or_default();
+                *total += add;
+                let body = total.to_string();
+                end.send(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+            }
+        }
+    }
+}
+
+/// An ingress and what is around it.
+pub struct Site {
+    pub program: Program,
+    pub now: Duration,
+    pub counter: Counter,
+    pub discovery: Party,
+    pub servers: Vec<Party>,
+    /// Calls that discovery has had.
+    pub watches: Vec<String>,
+    pub talks: bool,
+}
+
+/// A server's line in a list.
+pub fn target(n: usize, at: SocketAddr, state: &str) -> String {
+    format!(
+        r#"{{"uid":"s-{n}","endpoint":"{at}","az":"dc","model":"m","pod_group":{n},"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
+    )
+}
+
+/// A configuration in which all parties are on loopback.
+pub fn config(counter: &Party, discovery: &Party, servers: &[Party], sockets: usize) -> String {
+    let known: Vec<String> =
+        servers.iter().enumerate().map(|(n, s)| target(n, s.address, "SERVING")).collect();
+    format!(
+        r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","counter":"{}","seed":"0123456789abcdef",
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
+        "known":{{"rev":41,"all":true,"targets":[{}]}},"settings":{SETTINGS}}}"#,
+        discovery.address,
+        counter.address,
+        known.join(",")
+    )
+}
+
+/// A request as clients word it.
+pub fn request(name: &str, id: u64, list: &str) -> Vec<u8> {
+    let mut out = Vec::new();
+    resp::put_array(&mut out, 4);
+    for word in [name, "00000000b4d65521", &format!("{id:016x}"), list] {
+        resp::put_bulk(&mut out, word.as_bytes());
+    }
+    out
+}
+
+pub const LOAD: &str = "c=form-load,t=seedling,d=3000,units=1,spread=2,first=1";
+pub const SUBMIT: &str = "c=submit,t=seedling,d=3000,k=5c0f6e1a2b3d4c59,units=1,spread=2,first=1";
+
+pub fn load(id: u64) -> Vec<u8> {
+    request("API.READ", id, LOAD)
+}
+
+/// A server's answer with this value.
+pub fn served(value: &str) -> String {
+    format!("*3\r\n${}\r\n{value}\r\n$-1\r\n$-1\r\n", value.len())
+}
+
+impl Site {
+    pub fn new(servers: usize) -> Site {
+        Site::with(servers, 1024)
+    }
+
+    pub fn with(servers: usize, sockets: usize) -> Site {
+        let servers: Vec<Party> = (0..servers).map(|_| Party::new()).collect();
+        let (counter, discovery) = (Counter::new(), Party::new());
+        let text = config(&counter.party, &discovery, &servers, sockets);
+        let clock = Clock::start();
+        let program = Program::start(&Config::parse(text.into(), |_| None).unwrap(), clock).unwrap();
+        let (now, watches) = (clock.now(), Vec::new());
+        let mut site = Site { program, now, counter, discovery, servers, watches, talks: true };
+        site.until("the watch", |s| !s.watches.is_empty());
+        site
+    }
+
+    pub fn client(&self) -> End {
+        End::connect(self.program.address().unwrap())
+    }
+
+    /// One round of the ingress at the test's time, one of the parties. False once the ingress has ended.
+    pub fn round(&mut self) -> bool {
+        let now = self.now;
+        let goes_on = self.program.round(Some(Duration::from_millis(1)), || now).unwrap();
+        self.counter.serve();
+        self.servers.iter_mut().for_each(Party::read);
+        self.discovery.read();
+        for end in &mut self.discovery.ends {
+            if let Some(at) = end.input.windows(4).position(|w| w == b"\r\n\r\n") {
+                let head: Vec<u8> = end.input.drain(..at + 4).collect();
+                self.watches.push(String::from_utf8(head).unwrap().lines().next().unwrap().to_owned());
+                if self.talks {
+                    end.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+                }
+            }
+        }
+        goes_on
+    }
+
+    /// Goes on until the event has come.
+    pub fn until(&mut self, what: &str, mut come: impl FnMut(&mut Site) -> bool) {
+        let start = Instant::now();
+        loop {
+            self.round();
+            if come(self) {
+                return;
+            }
+            assert!(start.elapsed() < PATIENCE, "never came: {what}");
+        }
+    }
+
+    /// Moves the clock.
+    pub fn advance(&mut self, ms: u64) {
+        self.now += Duration::from_millis(ms);
+        self.round();
+    }
+
+    /// Discovery tells these states of servers.
+    pub fn tell(&mut self, rev: u64, states: &[(usize, &str)]) {
+        let targets: Vec<String> =
+            states.iter().map(|(n, state)| target(*n, self.servers[*n].address, state)).collect();
+        let line = format!("{{\"rev\":{rev},\"all\":false,\"targets\":[{}]}}\n", targets.join(","));
+        let end = self.discovery.ends.last_mut().unwrap();
+        end.send(format!("{:x}\r\n{line}\r\n", line.len()));
+    }
+
+    /// Waits for the next command at any server: server, connection, words.
+    pub fn arrival(&mut self) -> (usize, usize, Vec<String>) {
+        let mut found = None;
+        self.until("a command at a server", |s| {
+            found = s.servers.iter_mut().enumerate().find_map(|(n, p)| p.command().map(|(c, w)| (n, c, w)));
+            found.is_some()
+        });
+        found.unwrap()
+    }
+
+    /// Waits until a client has been sent exactly this.
+    pub fn expect(&mut self, client: &mut End, text: &str) {
+        self.until(text, |_| {
+            client.read();
+            client.input.len() >= text.len()
+        });
+        assert_eq!(client.text(), text);
+        client.input.clear();
+    }
+
+    /// Waits for a client's next line.
+    pub fn line(&mut self, client: &mut End) -> String {
+        self.until("a line", |_| {
+            client.read();
+            client.input.contains(&b'\n')
+        });
+        let end = client.input.iter().position(|b| *b == b'\n').unwrap() + 1;
+        String::from_utf8(client.input.drain(..end).collect()).unwrap()
+    }
+
+    /// Waits until a client's connection has ended.
+    pub fn ended(&mut self, client: &mut End) {
+        self.until("the connection's end", |_| {
+            client.read();
+            !client.open
+        });
+    }
+}
--- /dev/null
+++ b/ingress/tests/process.rs
@@ -0,0 +1,130 @@
+//! The program itself: started, spoken to, and ended by SIGTERM.
+
+mod common;
+
+use common::*;
+use rustix::process::{kill_process, Pid, Signal};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+/// The running program; ended with the test, whatever becomes of it.
+struct Running {
+    child: Child,
+    log: BufReader<std::process::ChildStderr>,
+    address: SocketAddr,
+    config: std::path::PathBuf,
+}
+
+impl Running {
+    fn start(name: &str, text: &str) -> Running {
+        let config = std::env::temp_dir().join(format!("roseyard-{}-{name}.json", std::process::id()));
+        std::fs::write(&config, text).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_roseyard"))
+            .env("LB_CONFIG", &config)
+            .env_remove("LB_NAME")
+            .env_remove("LB_LISTEN")
+            .env_remove("LB_DISCOVERY")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let line = line_with(&mut log, "listening on ");
+        let address = line.rsplit(' ').next().unwrap().trim().parse().unwrap();
+        Running { child, log, address, config }
+    }
+
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+        stream
+    }
+
+    fn terminate(&mut self) -> ExitStatus {
+        kill_process(Pid::from_child(&self.child), Signal::TERM).unwrap();
+        self.child.wait().unwrap()
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+fn line_with(log: &mut impl BufRead, text: &str) -> String {
+    loop {
+        let mut line = String::new();
+        assert!(log.read_line(&mut line).unwrap() > 0, "the log ended before '{text}'");
+        if line.contains(text) {
+            return line;
+        }
+    }
+}
+
+/// Answers each message that ends so with this text, on a thread for each connection.
+fn answer_with(listener: TcpListener, ends_with: &'static [u8], text: &'static str) {
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            std::thread::spawn(move || {
+                let (mut seen, mut buf) = (Vec::new(), [0; 4096]);
+                while let Ok(n @ 1..) = stream.read(&mut buf) {
+                    seen.extend_from_slice(&buf[..n]);
+                    if seen.ends_with(ends_with) {
+                        seen.clear();
+                        if stream.write_all(text.as_bytes()).is_err() {
+                            return;
+                        }
+                    }
+                }
+            });
+        }
+    });
+}
+
+#[test]
+fn the_program_serves_a_request_and_ends_well_on_sigterm() {
+    let (server, counter, discovery) = (Party::new(), Party::new(), Party::new());
+    let text = config(&counter, &discovery, std::slice::from_ref(&server), 1024);
+    answer_with(server.blocking(), b"first=1\r\n", "*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
+    answer_with(counter.blocking(), b"\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
+    answer_with(
+        discovery.blocking(),
+        b"\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n",
+    );
+    let mut running = Running::start("serves", &text);
+    line_with(&mut running.log, "info: ready");
+    let mut client = running.connect();
+    client.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+    let mut pong = [0; 7];
+    client.read_exact(&mut pong).unwrap();
+    assert_eq!(&pong, b"+PONG\r\n");
+    client.write_all(&load(1)).unwrap();
+    let mut value = [0; 8];
+    client.read_exact(&mut value).unwrap();
+    assert_eq!(&value, b"$2\r\nhi\r\n");
+    let status = running.terminate();
+    assert_eq!(status.code(), Some(0));
+    let mut rest = Vec::new();
+    client.read_to_end(&mut rest).unwrap();
+    assert!(rest.is_empty(), "the idle connection was ended, not answered");
+    line_with(&mut running.log, "stopped, 0 requests open");
+}
+
+#[test]
+fn what_is_wrong_with_a_configuration_is_said() {
+    for (name, text) in [("empty", "{}"), ("no-json", "listen here")] {
+        let config = std::env::temp_dir().join(format!("roseyard-{}-{name}.json", std::process::id()));
+        std::fs::write(&config, text).unwrap();
+        let out = Command::new(env!("CARGO_BIN_EXE_roseyard")).env("LB_CONFIG", &config).output().unwrap();
+        std::fs::remove_file(&config).unwrap();
+        assert_eq!(out.status.code(), Some(1));
+        let said = String::from_utf8(out.stderr).unwrap();
+        assert!(said.starts_with("roseyard: error: ") && said.contains(name), "{said}");
+    }
+}
--- /dev/null
+++ b/ingress/tests/properties.rs
@@ -0,0 +1,161 @@
+//! Models against which random steps are checked: a client's connection as its answers in order, and each
+//! connection to a server as one attempt at a time.
+
+mod common;
+
+use common::*;
+use proptest::prelude::*;
+use roseyard_ingress::protocol::{http, list, report, resp};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Debug)]
+enum Step {
+    /// The client writes so many bytes of what it has to say.
+    Write(usize),
+    /// The server answers, turns away, or breaks off the attempt of this number.
+    Serve(usize),
+    TurnAway(usize),
+    Break(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (1usize..90).prop_map(Step::Write),
+        3 => (0usize..4).prop_map(Step::Serve),
+        1 => (0usize..4).prop_map(Step::TurnAway),
+        1 => (0usize..4).prop_map(Step::Break),
+    ]
+}
+
+/// What the client is to read for each command: the text, once it is decided.
+fn front(model: &[Option<String>]) -> String {
+    model.iter().map_while(|answer| answer.clone()).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+
+    /// Keyed requests, each server a pod of its own: each ends as its only attempt does, and the answers keep their order.
+    #[test]
+    fn a_client_reads_its_answers_in_order_whatever_the_servers_do(
+        kinds in prop::collection::vec(any::<bool>(), 1..7),
+        steps in prop::collection::vec(step(), 1..60),
+    ) {
+        // Enough servers that none of the few requests is refused for load.
+        let mut site = Site::new(4);
+        let mut client = site.client();
+        let mut said = Vec::new();
+        let mut ends = Vec::new();
+        let mut model = Vec::new();
+        for (id, ping) in kinds.iter().enumerate() {
+            match ping {
+                true => said.extend(b"*1\r\n$4\r\nPING\r\n"),
+                false => said.extend(request("API.WRITE", id as u64, SUBMIT)),
+            }
+            ends.push(said.len());
+            model.push(ping.then(|| "+PONG\r\n".to_owned()));
+        }
+        let mut written = 0usize;
+        // Attempts out: connection to command. The connection must be free when another arrives on it.
+        let mut out: BTreeMap<(usize, usize), usize> = BTreeMap::new();
+        let all = steps.into_iter().chain([Step::Write(usize::MAX)]).chain((0..8).map(|_| Step::Serve(0)));
+        for step in all {
+            if let Step::Write(n) = step {
+                let end = written.saturating_add(n).min(said.len());
+                client.send(&said[written..end]);
+                written = end;
+            }
+            // Every request that is whole reaches the server.
+            let whole = ends.iter().zip(&kinds).filter(|(end, ping)| **end <= written && !**ping).count();
+            while out.len() + decided(&model, &kinds) < whole {
+                let (s, c, words) = site.arrival();
+                let id = usize::from_str_radix(&words[2], 16).unwrap();
+                prop_assert!(out.insert((s, c), id).is_none(), "two attempts on one connection");
+            }
+            let pick = |n: usize| out.iter().nth(n).map(|(c, id)| (*c, *id));
+            match step {
+                Step::Serve(n) => if let Some(((s, c), id)) = pick(n) {
+                    site.servers[s].ends[c].send(served(&id.to_string()));
+                    model[id] = Some(format!("$1\r\n{id}\r\n"));
+                    out.remove(&(s, c));
+                },
+                Step::TurnAway(n) => if let Some(((s, c), id)) = pick(n) {
+                    site.servers[s].ends[c].send("-ERR failed\r\n");
+                    model[id] = Some("-ERR failed\r\n".to_owned());
+                    out.remove(&(s, c));
+                },
+                Step::Break(n) => if let Some(((s, c), id)) = pick(n) {
+                    site.servers[s].ends[c].hang_up();
+                    model[id] = Some("-ERR failed\r\n".to_owned());
+                    out.remove(&(s, c));
+                },
+                Step::Write(_) => {}
+            }
+            let whole = ends.iter().filter(|end| **end <= written).count();
+            let text = front(&model[..whole]);
+            site.until("the answers", |_| {
+                client.read();
+                client.input.len() >= text.len()
+            });
+            prop_assert_eq!(client.text(), text);
+        }
+        prop_assert!(model.iter().all(Option::is_some));
+        prop_assert_eq!(site.program.open().0, 0);
+    }
+}
+
+/// Requests of the model that have their answer.
+fn decided(model: &[Option<String>], kinds: &[bool]) -> usize {
+    model.iter().zip(kinds).filter(|(answer, ping)| answer.is_some() && !**ping).count()
+}
+
+fn words(bytes: &[u8]) -> Vec<Vec<u8>> {
+    let (words, used) = resp::command(bytes, &limits()).unwrap().unwrap();
+    assert_eq!(used, bytes.len());
+    words.get().iter().map(|w| w.to_vec()).collect()
+}
+
+proptest! {
+    #[test]
+    fn a_command_is_whole_at_its_last_byte_and_not_before(
+        said in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..40), 1..8),
+    ) {
+        let mut bytes = Vec::new();
+        resp::put_array(&mut bytes, said.len());
+        said.iter().for_each(|word| resp::put_bulk(&mut bytes, word));
+        for end in 0..bytes.len() {
+            prop_assert_eq!(resp::command(&bytes[..end], &limits()), Ok(None));
+        }
+        prop_assert_eq!(words(&bytes), said);
+    }
+
+    #[test]
+    fn a_chunk_is_whole_at_its_last_byte_and_not_before(body in prop::collection::vec(any::<u8>(), 0..60)) {
+        let mut bytes = format!("{:x}\r\n", body.len()).into_bytes();
+        bytes.extend(&body);
+        bytes.extend(b"\r\n");
+        for end in 0..bytes.len() {
+            prop_assert_eq!(http::chunk(&bytes[..end], &limits()), Ok(None));
+        }
+        prop_assert_eq!(http::chunk(&bytes, &limits()), Ok(Some((&body[..], bytes.len()))));
+    }
+
+    #[test]
+    fn no_input_makes_a_parser_fail_or_take_more_than_there_is(
+        kind in prop::sample::select(vec![&b""[..], b"*", b"*2\r\n$", b"$3\r\n", b"HTTP/1.1 200 OK\r\n", b"5\r\n"]),
+        rest in prop::collection::vec(prop::sample::select(b"*$+-:0123456789abc\r\n \xff={}\"".to_vec()), 0..60),
+    ) {
+        let input = [kind, &rest].concat();
+        let limits = limits();
+        let used = [
+            resp::command(&input, &limits).ok().flatten().map(|f| f.1),
+            resp::value(&input, &limits).ok().flatten().map(|f| f.1),
+            http::answer(&input, &limits).ok().flatten().map(|f| f.1),
+            http::chunk(&input, &limits).ok().flatten().map(|f| f.1),
+        ];
+        prop_assert!(used.into_iter().flatten().all(|n| n > 0 && n <= input.len()));
+        let load = report::report(&input);
+        prop_assert!(load.is_none_or(|l| l.utilisation.is_none_or(f64::is_finite)));
+        prop_assert!(list::decode(&mut input.clone()).is_err(), "none of these is a list");
+    }
+}
--- /dev/null
+++ b/ingress/tests/sockets.rs
@@ -0,0 +1,365 @@
+//! What clients, servers, counter and discovery see of an ingress, and what it makes of their failures.
+
+mod common;
+
+use common::*;
+
+#[test]
+fn a_request_is_passed_on_unchanged_but_for_its_deadline_and_its_value_comes_back() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    client.send(request("API.WRITE", 7, SUBMIT));
+    let (s, c, words) = site.arrival();
+    assert_eq!(words[..3], ["API.WRITE", "00000000b4d65521", "0000000000000007"]);
+    // Late answers of this class are worth nothing: it waits for the aim.
+    assert_eq!(words[3], SUBMIT.replace("d=3000", "d=1000"));
+    site.servers[s].ends[c].send(served("kept"));
+    site.expect(&mut client, "$4\r\nkept\r\n");
+    assert_eq!(site.program.open().0, 0, "nothing is held any more");
+}
+
+#[test]
+fn answers_keep_the_order_of_commands_and_each_attempt_has_a_connection_of_its_own() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    client.send([load(1), b"*1\r\n$4\r\nPING\r\n".to_vec(), load(2)].concat());
+    let first = site.arrival();
+    let second = site.arrival();
+    assert_ne!(first.1, second.1, "no attempt is written behind another");
+    assert_eq!((&first.2[2][15..], &second.2[2][15..]), ("1", "2"));
+    site.servers[0].ends[second.1].send(served("two"));
+    site.until("the second answer", |s| s.program.open().0 == 1);
+    client.read();
+    assert_eq!(client.text(), "", "the first command's answer is still to come");
+    site.servers[0].ends[first.1].send(served("one"));
+    site.expect(&mut client, "$3\r\none\r\n+PONG\r\n$3\r\ntwo\r\n");
+}
+
+#[test]
+fn a_free_connection_is_used_again_and_dropped_before_the_server_would() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    for id in 0..3 {
+        client.send(load(id));
+        let (_, c, _) = site.arrival();
+        assert_eq!(c, 0, "the pooled connection");
+        site.servers[0].ends[c].send(served("v"));
+        site.expect(&mut client, "$1\r\nv\r\n");
+    }
+    site.advance(14_000);
+    site.until("the pool is empty", |s| !s.servers[0].ends[0].open);
+}
+
+#[test]
+fn lost_framing_is_told_and_ends_the_connection_after_the_answers_before_it() {
+    for bad in ["hello\r\n", "*1\r\n$70000\r\n", "*1\r\n:1\r\n", "*99\r\n", "*1\r\n$2\r\nabcd"] {
+        let mut site = Site::new(1);
+        let mut client = site.client();
+        client.send(load(1));
+        client.send(bad);
+        let (_, c, _) = site.arrival();
+        site.servers[0].ends[c].send(served("v"));
+        assert_eq!(site.line(&mut client), "$1\r\n");
+        assert_eq!(site.line(&mut client), "v\r\n");
+        assert!(site.line(&mut client).starts_with("-ERR Protocol error"), "{bad:?}");
+        site.ended(&mut client);
+    }
+}
+
+#[test]
+fn a_wrong_command_is_told_and_the_connection_goes_on() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    let wrong = [
+        request("API.READ", 1, "c=form-load"),
+        request("API.READ", 1, &LOAD.replace("form-load", "other")),
+        request("API.READ", 1, &LOAD.replace("seedling", "other")),
+        request("API.READ", 1, &LOAD.replace("d=3000", "d=soon")),
+        b"*1\r\n$8\r\nAPI.READ\r\n".to_vec(),
+        b"*1\r\n$5\r\nHELLO\r\n".to_vec(),
+        b"*0\r\n".to_vec(),
+    ];
+    for command in wrong {
+        client.send(&command);
+        assert!(site.line(&mut client).starts_with("-ERR "), "{}", String::from_utf8_lossy(&command));
+    }
+    client.send("*1\r\n$4\r\nPING\r\n");
+    site.expect(&mut client, "+PONG\r\n");
+}
+
+#[test]
+fn beyond_the_quota_a_request_is_refused_at_once_with_word_of_when_to_come_back() {
+    let mut site = Site::new(1);
+    // Other ingresses have used the customer's whole window.
+    site.counter.totals.insert("00000000b4d65521".to_owned(), 20.0);
+    let mut client = site.client();
+    let before = site.now;
+    client.send(load(1));
+    let answer = site.line(&mut client);
+    let after: u64 = answer.strip_prefix("-BUSY ").expect("a refusal").trim().parse().unwrap();
+    assert!((1..=1000).contains(&after), "{answer}");
+    assert_eq!(site.now, before, "no time has gone by");
+    assert!(site.servers[0].ends.is_empty(), "no server was asked");
+}
+
+#[test]
+fn a_server_that_turns_away_never_ran_it_and_another_is_asked() {
+    let mut site = Site::new(2);
+    let mut client = site.client();
+    client.send(request("API.WRITE", 1, SUBMIT));
+    let (first, c, _) = site.arrival();
+    site.servers[first].ends[c].send("-BUSY\r\n");
+    let (second, c, words) = site.arrival();
+    assert_ne!(first, second);
+    assert_eq!(words[2], "0000000000000001", "the same id");
+    site.servers[second].ends[c].send(served("v"));
+    site.expect(&mut client, "$1\r\nv\r\n");
+}
+
+#[test]
+fn a_keyed_request_whose_connection_broke_after_its_last_byte_fails_and_is_not_called_harmless() {
+    let mut site = Site::new(2);
+    let mut client = site.client();
+    client.send(request("API.WRITE", 1, SUBMIT));
+    let (s, _, _) = site.arrival();
+    site.servers[s].ends.clear();
+    // The other server is of another pod, which does not know the key.
+    site.expect(&mut client, "-ERR failed\r\n");
+    assert_eq!(site.servers[1 - s].command(), None);
+}
+
+#[test]
+fn a_refused_connection_never_ran_the_request() {
+    let mut site = Site::new(1);
+    site.servers[0].die();
+    let mut client = site.client();
+    client.send(request("API.WRITE", 1, SUBMIT));
+    // Had it perhaps run, a keyed request could not be called harmless to repeat.
+    assert!(site.line(&mut client).starts_with("-BUSY "));
+}
+
+#[test]
+fn a_connection_that_never_comes_up_never_ran_the_request() {
+    let mut site = Site::new(1);
+    site.servers[0].fill_up();
+    let mut client = site.client();
+    client.send(request("API.WRITE", 1, SUBMIT));
+    site.until("the connection is begun", |s| s.program.open().1 == 1);
+    site.advance(251);
+    assert!(site.line(&mut client).starts_with("-BUSY "));
+    assert_eq!(site.program.open().1, 0);
+}
+
+#[test]
+fn an_attempt_behind_a_connect_is_not_written_to_a_server_that_has_begun_to_drain() {
+    let mut site = Site::new(1);
+    site.servers[0].fill_up();
+    let mut client = site.client();
+    client.send(request("API.WRITE", 1, SUBMIT));
+    site.until("the connection is begun", |s| s.program.open().1 == 1);
+    site.tell(42, &[(0, "DRAINING")]);
+    site.until("the list", |s| s.program.list_version() == 42);
+    // Room at the listener: the connection comes up.
+    site.servers[0].empty();
+    assert!(site.line(&mut client).starts_with("-BUSY "));
+    site.servers[0].read();
+    assert_eq!(site.servers[0].command(), None);
+}
+
+#[test]
+fn a_silent_server_costs_its_connection_and_the_request_fails_at_its_end() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    client.send(request("API.WRITE", 1, SUBMIT));
+    let (_, c, _) = site.arrival();
+    site.advance(1001);
+    site.expect(&mut client, "-ERR failed\r\n");
+    site.until("the attempt is abandoned", |s| !s.servers[0].ends[c].open);
+    assert_eq!(site.program.open(), (0, 0, 1));
+}
+
+#[test]
+fn a_client_that_leaves_has_its_attempt_called_off() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    client.send(load(1));
+    let (_, c, _) = site.arrival();
+    drop(client);
+    site.until("the attempt is abandoned", |s| !s.servers[0].ends[c].open);
+    assert_eq!(site.program.open(), (0, 0, 0));
+}
+
+#[test]
+fn a_server_that_drains_gets_nothing_new_and_finishes_what_it_has() {
+    let mut site = Site::new(2);
+    let mut client = site.client();
+    client.send(load(1));
+    let (drained, c, _) = site.arrival();
+    site.tell(42, &[(drained, "DRAINING")]);
+    site.until("the list", |s| s.program.list_version() == 42);
+    let mut other = site.client();
+    for id in 2..6 {
+        other.send(load(id));
+        let (s, c, _) = site.arrival();
+        assert_eq!(s, 1 - drained);
+        site.servers[s].ends[c].send(served("w"));
+        site.expect(&mut other, "$1\r\nw\r\n");
+    }
+    site.servers[drained].ends[c].send(served("v"));
+    site.expect(&mut client, "$1\r\nv\r\n");
+    site.until("its connection goes", |s| !s.servers[drained].ends[c].open);
+}
+
+#[test]
+fn a_silent_counter_stalls_nobody_and_its_late_answer_is_not_taken_for_the_next_calls() {
+    let mut site = Site::new(1);
+    site.counter.counting = Counting::Silent;
+    let mut client = site.client();
+    client.send(load(1));
+    site.until("the call", |s| s.counter.party.ends.iter().any(|e| !e.input.is_empty()));
+    assert_eq!(site.servers[0].command(), None, "it waits for the total");
+    site.advance(31);
+    let (_, c, _) = site.arrival();
+    site.servers[0].ends[c].send(served("v"));
+    site.expect(&mut client, "$1\r\nv\r\n");
+    // The first answer comes late, with a total that leaves room; the second tells that there is none.
+    client.send(load(2));
+    site.until("the second call", |s| {
+        s.counter.party.ends.iter().any(|e| e.input.windows(4).filter(|w| w == b"\r\n\r\n").count() == 2)
+    });
+    site.counter.totals.insert("00000000b4d65521".to_owned(), 0.0);
+    let end = site.counter.party.ends.iter_mut().find(|e| !e.input.is_empty()).unwrap();
+    end.send("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
+    for _ in 0..3 {
+        site.round();
+    }
+    assert_eq!(site.servers[0].command(), None, "the first answer decides nothing");
+    let end = site.counter.party.ends.iter_mut().find(|e| !e.input.is_empty()).unwrap();
+    end.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n99");
+    assert!(site.line(&mut client).starts_with("-BUSY "));
+}
+
+#[test]
+fn a_counter_that_refuses_or_turns_away_stalls_nobody() {
+    for refuses in [true, false] {
+        let mut site = Site::new(1);
+        site.counter.counting = Counting::TurnsAway;
+        if refuses {
+            site.counter.party.die();
+        }
+        let mut client = site.client();
+        let before = site.now;
+        for id in 0..3 {
+            client.send(load(id));
+            let (_, c, _) = site.arrival();
+            site.servers[0].ends[c].send(served("v"));
+            site.expect(&mut client, "$1\r\nv\r\n");
+        }
+        assert_eq!(site.now, before);
+    }
+}
+
+#[test]
+fn a_counter_connection_that_stays_silent_is_replaced() {
+    let mut site = Site::new(1);
+    site.counter.counting = Counting::Silent;
+    let mut client = site.client();
+    client.send(load(1));
+    site.until("the call", |s| s.counter.party.ends.iter().any(|e| !e.input.is_empty()));
+    site.advance(31);
+    site.advance(1100);
+    site.until("the silent connection goes", |s| s.counter.party.ends.iter().all(|e| !e.open));
+    site.counter.counting = Counting::Answers;
+    let calls = site.counter.calls.len();
+    client.send(load(2));
+    site.until("a call on a new connection", |s| s.counter.calls.len() > calls);
+}
+
+#[test]
+fn a_silent_discovery_is_called_again_from_the_version_held() {
+    let mut site = Site::new(1);
+    assert_eq!(site.watches, ["GET /discovery/hosts?watch=1&after=41 HTTP/1.1"]);
+    site.tell(43, &[(0, "SERVING")]);
+    site.until("the list", |s| s.program.list_version() == 43);
+    site.talks = false;
+    site.advance(4600);
+    site.until("a second call", |s| s.watches.len() == 2);
+    assert_eq!(site.watches[1], "GET /discovery/hosts?watch=1&after=43 HTTP/1.1");
+    site.advance(4600);
+    site.until("a third call", |s| s.watches.len() == 3);
+}
+
+#[test]
+fn a_watch_that_breaks_is_opened_again_after_a_moment() {
+    let mut site = Site::new(1);
+    site.discovery.ends.clear();
+    site.until("the loss", |s| s.program.next_due().is_some());
+    for _ in 0..3 {
+        site.round();
+    }
+    site.advance(201);
+    site.until("a second call", |s| s.watches.len() == 2);
+}
+
+#[test]
+fn ping_is_answered_once_discovery_has_spoken_or_has_had_its_time() {
+    let mut site = Site::new(1);
+    site.talks = false;
+    let (counter, discovery) = (Counter::new(), Party::new());
+    let text = config(&counter.party, &discovery, &site.servers, 1024);
+    let config = roseyard_ingress::program::config::Config::parse(text.into(), |_| None).unwrap();
+    let clock = roseyard_ingress::clock::Clock::start();
+    site.program = roseyard_ingress::program::Program::start(&config, clock).unwrap();
+    site.now = clock.now();
+    let mut client = site.client();
+    client.send("*1\r\n$4\r\nPING\r\n");
+    assert!(site.line(&mut client).starts_with("-LOADING"));
+    site.advance(1100);
+    client.send("*1\r\n$4\r\nPING\r\n");
+    site.expect(&mut client, "+PONG\r\n");
+}
+
+#[test]
+fn more_clients_than_descriptors_are_served_by_closing_connections_between_requests() {
+    let mut site = Site::with(1, 48);
+    let mut clients = Vec::new();
+    for _ in 0..40 {
+        let mut client = site.client();
+        client.send("*1\r\n$4\r\nPING\r\n");
+        site.expect(&mut client, "+PONG\r\n");
+        clients.push(client);
+    }
+    let (_, _, held) = site.program.open();
+    assert!((1..40).contains(&held), "{held} held");
+    site.ended(&mut clients[0]);
+}
+
+#[test]
+fn leaving_accepts_for_a_while_finishes_what_is_held_and_ends() {
+    let mut site = Site::new(1);
+    let mut held = site.client();
+    held.send(load(1));
+    let (_, c, _) = site.arrival();
+    let mut idle = site.client();
+    idle.send("*1\r\n$4\r\nPING\r\n");
+    site.expect(&mut idle, "+PONG\r\n");
+    site.program.leave();
+    let mut late = site.client();
+    late.send(load(2));
+    let (_, c2, _) = site.arrival();
+    site.advance(601);
+    site.ended(&mut idle);
+    assert_eq!(site.program.address(), None, "nothing new is accepted");
+    assert!(held.open && late.open);
+    for (client, c) in [(&mut held, c), (&mut late, c2)] {
+        site.servers[0].ends[c].send(served("v"));
+        site.expect(client, "$1\r\nv\r\n");
+        site.ended(client);
+    }
+    drop((held, idle, late));
+    let mut goes_on = true;
+    site.until("the end", |s| {
+        goes_on = goes_on && s.round();
+        !goes_on
+    });
+}
