Cover configuration, list, counter answers and a lack of descriptors by tests

A program whose system gives 32 descriptors against the 1,024 promised serves 50 clients one after another.

--- a/ingress/src/protocol/command.rs
+++ b/ingress/src/protocol/command.rs
@@ -1,6 +1,6 @@
 //! The platform's requests: `API.READ` and `API.WRITE`.
 
-use super::resp::{put_array, put_bulk};
+use super::resp::{decimal, put_array, put_bulk, put_bulk_of};
 
 /// A request as a client words it.
 #[derive(Clone, Debug, PartialEq)]
@@ -103,36 +103,11 @@
             let word = &self.bytes[start..*end as usize];
             start = *end as usize;
             if n == 3 {
-                let mut digits = [0; 20];
-                let digits = decimal(wait_ms, &mut digits);
                 let (from, to) = self.deadline;
-                let len = word.len() - (to - from) + digits.len();
-                put_head(out, len);
-                for part in [&word[..from], digits, &word[to..], b"\r\n"] {
-                    out.extend_from_slice(part);
-                }
+                put_bulk_of(out, &[&word[..from], decimal(wait_ms, &mut [0; 20]), &word[to..]]);
             } else {
                 put_bulk(out, word);
             }
         }
     }
 }
-
-fn put_head(out: &mut Vec<u8>, len: usize) {
-    let mut digits = [0; 20];
-    out.push(b'$');
-    out.extend_from_slice(decimal(len as u64, &mut digits));
-    out.extend_from_slice(b"\r\n");
-}
-
-fn decimal(mut number: u64, digits: &mut [u8; 20]) -> &[u8] {
-    let mut at = digits.len();
-    loop {
-        at -= 1;
-        digits[at] = b'0' + (number % 10) as u8;
-        number /= 10;
-        if number == 0 {
-            return &digits[at..];
-        }
-    }
-}
--- a/ingress/src/protocol/http.rs
+++ b/ingress/src/protocol/http.rs
@@ -118,3 +118,53 @@
 pub fn put_watch(out: &mut Vec<u8>, host: &str, after: u64) {
     let _ = write!(out, "GET /discovery/hosts?watch=1&after={after} HTTP/1.1\r\nHost: {host}\r\n\r\n");
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use roseyard_settings::Options;
+
+    fn limits() -> Limits {
+        Limits::new(1024, 192, &Options::parse(include_bytes!("../../tests/settings.json")).unwrap())
+    }
+
+    fn parsed(text: &str) -> Result<Option<(u16, String, bool, usize)>, Malformed> {
+        let found = answer(text.as_bytes(), &limits())?;
+        Ok(found.map(|((h, body), used)| (h.status, String::from_utf8_lossy(body).into(), h.closes, used)))
+    }
+
+    #[test]
+    fn a_total_comes_with_its_length_or_in_a_chunk() {
+        let plain = "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nX: y\r\n\r\n12.5HTTP";
+        assert_eq!(parsed(plain), Ok(Some((200, "12.5".into(), false, plain.len() - 4))));
+        let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n12\r\n0\r\n\r\n";
+        assert_eq!(parsed(chunked), Ok(Some((200, "12".into(), false, chunked.len()))));
+        for end in 0..plain.len() - 4 {
+            assert_eq!(parsed(&plain[..end]), Ok(None), "{end}");
+        }
+    }
+
+    #[test]
+    fn a_refusal_may_close_and_an_unframed_or_odd_answer_is_malformed() {
+        let refusal = "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+        assert_eq!(parsed(refusal), Ok(Some((503, String::new(), true, refusal.len()))));
+        for bad in [
+            "HTTP/1.1 200 OK\r\n\r\n12",
+            "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
+            "SMTP 200\r\n\r\n",
+        ] {
+            assert!(parsed(bad).is_err(), "{bad:?}");
+        }
+    }
+
+    #[test]
+    fn a_call_is_worded_as_the_counter_takes_it() {
+        let mut out = Vec::new();
+        put_tally(&mut out, "127.0.0.1:6400", 0xb4d65521, 2.5, 4000);
+        let text = String::from_utf8(out).unwrap();
+        assert!(text.starts_with("POST /tally/00000000b4d65521?n=2.5&keep_ms=4000 HTTP/1.1\r\n"), "{text}");
+        assert!(text.ends_with("\r\n\r\n"));
+    }
+}
--- a/ingress/src/protocol/report.rs
+++ b/ingress/src/protocol/report.rs
@@ -21,3 +21,18 @@
     }
     (load != LoadReport::default()).then_some(load)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn known_fields_are_read_and_the_rest_is_passed_over() {
+        let load = report(b"inflight=7,queue=2,util=0.61,eps=3,odd").unwrap();
+        assert_eq!((load.in_flight, load.queued, load.utilisation), (Some(7.0), Some(2.0), Some(0.61)));
+        assert_eq!(report(b"cpu_share=0.5").unwrap().utilisation, Some(0.5));
+        assert_eq!(report(b"util=nan,queue=-1"), None);
+        assert_eq!(report(b"failed"), None);
+        assert_eq!(report(b"\xff"), None);
+    }
+}
--- a/ingress/src/protocol/resp.rs
+++ b/ingress/src/protocol/resp.rs
@@ -2,7 +2,6 @@
 
 use super::{Malformed, Parsed};
 use crate::limits::Limits;
-use std::io::Write;
 
 /// A value of an answer; text borrows from the input.
 #[derive(Clone, Debug, PartialEq)]
@@ -150,12 +149,36 @@
 
 /// Appends the head of an array.
 pub fn put_array(out: &mut Vec<u8>, count: usize) {
-    let _ = write!(out, "*{count}\r\n");
+    put_head(out, b'*', count);
 }
 
 /// Appends a bulk string.
 pub fn put_bulk(out: &mut Vec<u8>, text: &[u8]) {
-    let _ = write!(out, "${}\r\n", text.len());
-    out.extend_from_slice(text);
+    put_bulk_of(out, &[text]);
+}
+
+/// Appends a bulk string made of these parts.
+pub fn put_bulk_of(out: &mut Vec<u8>, parts: &[&[u8]]) {
+    put_head(out, b'$', parts.iter().map(|p| p.len()).sum());
+    parts.iter().for_each(|part| out.extend_from_slice(part));
+    out.extend_from_slice(b"\r\n");
+}
+
+fn put_head(out: &mut Vec<u8>, kind: u8, count: usize) {
+    out.push(kind);
+    out.extend_from_slice(decimal(count as u64, &mut [0; 20]));
     out.extend_from_slice(b"\r\n");
 }
+
+/// The number's digits, without the formatter's cost on every message.
+pub fn decimal(mut number: u64, digits: &mut [u8; 20]) -> &[u8] {
+    let mut at = digits.len();
+    loop {
+        at -= 1;
+        digits[at] = b'0' + (number % 10) as u8;
+        number /= 10;
+        if number == 0 {
+            return &digits[at..];
+        }
+    }
+}
--- a/ingress/src/routing/fleet.rs
+++ b/ingress/src/routing/fleet.rs
@@ -132,3 +132,73 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::transport::Slots;
+
+    fn list(rev: u64, all: bool, entries: &[(&str, &str, u64, f64)]) -> List {
+        let target = |(uid, state, port, boot_ms): &(&str, &str, u64, f64)| Target {
+            uid: (*uid).into(),
+            endpoint: format!("127.0.0.1:{port}"),
+            az: "b".into(),
+            pod_group: 3,
+            state: (*state).into(),
+            capacity_hint: 1.0,
+            boot_ms: *boot_ms,
+        };
+        List { rev, all, targets: entries.iter().map(target).collect() }
+    }
+
+    #[test]
+    fn a_server_keeps_its_number_until_it_is_gone_and_a_full_list_ends_those_it_lacks() {
+        let (mut fleet, clock) = (Fleet::default(), Clock::start());
+        let zones = ["a".to_owned(), "b".to_owned()];
+        let mut apply = |l: &List| fleet.apply(l, &zones, &clock).update;
+        let first = [("s-1", "SERVING", 7001, 0.0), ("s-2", "SERVING", 7002, 0.0)];
+        let ListUpdate::Full(entries) = apply(&list(1, true, &first)) else { panic!() };
+        assert_eq!((entries[0].zone, entries[0].cell), (1, 3));
+        let ids = [entries[0].server, entries[1].server];
+        let ListUpdate::Changes(entries) = apply(&list(2, false, &[("s-2", "DRAINING", 7002, 0.0)])) else {
+            panic!()
+        };
+        assert_eq!((entries[0].server, entries[0].state), (ids[1], ServerState::Draining));
+        apply(&list(3, true, &[("s-1", "SERVING", 7001, 0.0)]));
+        let ListUpdate::Changes(entries) = apply(&list(4, false, &[("s-2", "SERVING", 7002, 0.0)])) else {
+            panic!()
+        };
+        assert!(!ids.contains(&entries[0].server), "a number is never used again");
+        assert_eq!((fleet.ready(), fleet.rev), (2, 4));
+    }
+
+    #[test]
+    fn idle_connections_go_with_what_they_led_to() {
+        let clock = Clock::start();
+        let booted = 4_000_000_000_000.0;
+        for (state, port, boot_ms) in [
+            ("DRAINING", 7001, 0.0),
+            ("SERVING", 7009, 0.0),
+            ("SERVING", 7001, booted),
+            ("DELETED", 7001, 0.0),
+        ] {
+            let mut fleet = Fleet::default();
+            fleet.apply(&list(1, true, &[("s-1", "SERVING", 7001, 0.0)]), &[], &clock);
+            let key = Slots::default().insert_with(|_| ());
+            fleet.get_mut(ServerId(1)).unwrap().idle.push(key);
+            let same = fleet.apply(&list(2, false, &[("s-1", "SERVING", 7001, 0.0)]), &[], &clock);
+            assert!(same.stale.is_empty());
+            let change = fleet.apply(&list(3, false, &[("s-1", state, port, boot_ms)]), &[], &clock);
+            assert_eq!(change.stale, [key], "{state} {port} {boot_ms}");
+        }
+    }
+
+    #[test]
+    fn an_entry_that_cannot_be_read_leaves_the_others() {
+        let (mut fleet, clock) = (Fleet::default(), Clock::start());
+        let mut odd = list(1, true, &[("s-1", "SERVING", 7001, 0.0), ("s-2", "ODD", 7002, 0.0)]);
+        odd.targets[1].boot_ms = f64::NAN;
+        let change = fleet.apply(&odd, &[], &clock);
+        assert_eq!((change.bad, fleet.ready()), (1, 1));
+    }
+}
--- a/ingress/tests/common/mod.rs
+++ b/ingress/tests/common/mod.rs
@@ -15,17 +15,7 @@
 /// Real time after which an awaited event is taken as never coming.
 const PATIENCE: Duration = Duration::from_secs(20);
 
-pub const SETTINGS: &str = r#"{"Az":0,"Balancers":1,"Ceilings":{"Cancel":true,"ConnIdleMs":15000.0,
-"ConnectTimeoutMs":250.0,"MaxAttempts":4,"MaxOpen":20000,"MaxRetryAfterMs":1000.0,"MayDuplicate":false,
-"Probes":false,"RetryAfter":true},"Classes":[{"DeadlineMs":4000.0,"Effect":"read_like","Group":"all",
-"LateWorth":0.2,"Name":"form-load","Stream":false,"TargetMs":1200.0,"WindowMs":5000.0,"Worth":1.0},
-{"DeadlineMs":4000.0,"Effect":"idempotency_key","Group":"cell","LateWorth":0.0,"Name":"submit","Stream":false,
-"TargetMs":1000.0,"WindowMs":8000.0,"Worth":2.0}],"Discovery":"automatic","Domain":{"CounterTimeoutMs":30.0,
-"MeteringMs":0.0,"SharedCounter":true},"FailureDomains":["dc"],"GranularityMs":2.0,"Guarantees":{
-"StartCapacity":0.15,"StopSendingWithinMs":2000.0,"TipAfterMs":3000.0,"TipMultiple":3.0,"WarmWithinMs":15000.0},
-"Report":{"Fields":["cpu_share"],"Via":"on_probe"},"TiersOfService":[{"BeyondCosts":1.0,"CapDepth":0.0,
-"CapSlack":0.0,"ExcessWorth":0.0,"MaxOut":0,"MostAtOnce":8.0,"Name":"seedling","NeverOverRate":0.0,"Rate":2.0,
-"ValueFactor":1.0}]}"#;
+pub const SETTINGS: &str = include_str!("../settings.json");
 
 /// The limits of an ordinary machine under these settings.
 pub fn limits() -> Limits {
--- a/ingress/tests/process.rs
+++ b/ingress/tests/process.rs
@@ -19,9 +19,13 @@
 
 impl Running {
     fn start(name: &str, text: &str) -> Running {
+        Running::start_with(name, text, Command::new(env!("CARGO_BIN_EXE_roseyard")))
+    }
+
+    fn start_with(name: &str, text: &str, mut command: Command) -> Running {
         let config = std::env::temp_dir().join(format!("roseyard-{}-{name}.json", std::process::id()));
         std::fs::write(&config, text).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_roseyard"))
+        let mut child = command
             .env("LB_CONFIG", &config)
             .env_remove("LB_NAME")
             .env_remove("LB_LISTEN")
@@ -116,6 +120,28 @@
     line_with(&mut running.log, "stopped, 0 requests open");
 }
 
+#[test]
+fn without_descriptors_left_connections_between_requests_make_room() {
+    let (counter, discovery) = (Party::new(), Party::new());
+    // The configuration promises more than the system gives.
+    let text = config(&counter, &discovery, &[], 1024);
+    let mut shell = Command::new("/bin/sh");
+    shell.args(["-c", "ulimit -n 32; exec \"$0\"", env!("CARGO_BIN_EXE_roseyard")]);
+    let mut running = Running::start_with("descriptors", &text, shell);
+    line_with(&mut running.log, "info: ready");
+    let mut clients = Vec::new();
+    for _ in 0..50 {
+        let mut client = running.connect();
+        client.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+        let mut pong = [0; 7];
+        client.read_exact(&mut pong).unwrap();
+        assert_eq!(&pong, b"+PONG\r\n");
+        clients.push(client);
+    }
+    drop(clients);
+    assert_eq!(running.terminate().code(), Some(0));
+}
+
 #[test]
 fn what_is_wrong_with_a_configuration_is_said() {
     for (name, text) in [("empty", "{}"), ("no-json", "listen here")] {
