A try that the ledger has no room for asks the counter without adding its units

Cause: on_request added a hopeless try's units, which stood in the total until this gateway's next add for that customer, seconds later for small plans, and so took room from its tries at the other gateways. Ruled out before: credits over the end of a life, unseen adds (no gain). Now such a try adds nothing and is judged by the total that returns as before; if it passes, its units go in with the next add, like all that is owed. A test fails without the change.

--- a/src/control.rs
+++ b/src/control.rs
@@ -103,6 +103,7 @@
     request: RequestId,
     units: f64,
     add: f64,
+    counted: bool,         // Are its own units in the add?
     decided: Option<bool>, // Decided before the answer: was it granted?
 }
 
@@ -429,12 +430,15 @@
         // A jam is not fed with tries that the ledger refuses anyway.
         let called = counted && asked && !(self.flow.suspect && ledger.level < units);
         if called {
-            let due = ledger.carry + units;
+            // A try that the ledger has no room for asks without adding: its units would stand in the total
+            // until this gateway's next add, and take room from the customer's tries elsewhere.
+            let counted = ledger.level + EPS >= units || ledger.rare();
+            let due = ledger.carry + if counted { units } else { 0.0 };
             // A rare customer's try speaks for those that were not asked about.
             let speaks = if ledger.rare() { 1.0 / self.flow.pace.max(0.25) } else { 1.0 };
             let add = due.max(0.0) * speaks;
             ledger.carry = due.min(0.0);
-            ledger.calls.push_back(Call { request: r.request, units, add, decided: None });
+            ledger.calls.push_back(Call { request: r.request, units, add, counted, decided: None });
             let (name, lifetime) = (CountName(r.customer.0), dur(ledger.window));
             out.push(Action::Count { name, add, lifetime });
             if !self.flow.suspect {
@@ -456,6 +460,7 @@
         let room = ledger.under_ceiling(units, false) && (free || likely && ledger.has_room(units, false));
         if let Some(call) = ledger.calls.iter_mut().find(|c| c.request == id) {
             call.decided = Some(room);
+            ledger.carry += if room && !call.counted { units } else { 0.0 };
         } else if room && owed && !rare {
             ledger.carry = (ledger.carry + units).min(ledger.burst);
         }
@@ -480,9 +485,12 @@
             _ => {} // It may have been added: taken as added.
         }
         // A refused try leaves the count with the next add, which of a rare customer comes too late.
-        if room == Some(false) && result != CountResult::Unknown && !ledger.rare() {
+        if room == Some(false) && result != CountResult::Unknown && call.counted && !ledger.rare() {
             ledger.carry -= call.units;
         }
+        if room == Some(true) && call.decided.is_none() && !call.counted {
+            ledger.carry += call.units;
+        }
         self.counter_heard(matches!(result, CountResult::Total(_)), took, t, out);
         match (call.decided, room) {
             (None, Some(room)) => self.decided(call.request, room, true, t, out),
