Hear of a silent discovery sooner, and answer at once what waited for room

Seen in review: Front::flush read on for a client that had been at its bound, but left the answers for the next round, up to 50 ms later; a test shows it (3,000 commands behind one) and fails without the change. Discovery was called again only after 4.5 s, while what it has to tell counts as told after 6 s: now after 3 s without its 2 s line, and each new call that says nothing after 1 s. A request that cannot be held is told to come back in 500 ms.

--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -34,6 +34,8 @@
     pub counters: usize,
     /// Calls on one counter connection that wait for answers.
     pub counter_calls: usize,
+    /// Advice to clients whose requests cannot be held.
+    pub busy_again: Duration,
     /// Readiness events taken in at once.
     pub batch: usize,
     /// The listener's queue.
@@ -52,6 +54,9 @@
     pub counter_again: Duration,
     /// Discovery is taken as silent after this: its line is due every 2 s.
     pub list_silence: Duration,
+    /// And after this on a new call, which it answers at once: whatever it has to tell counts as told some
+    /// seconds later, heard or not.
+    pub list_first: Duration,
     /// Discovery is called again after this.
     pub list_again: Duration,
     /// `PING` is answered by then even if discovery says nothing.
@@ -96,6 +101,7 @@
             links: left * 4 / 10,
             counters,
             counter_calls: 4096,
+            busy_again: ms(500),
             batch: 256,
             backlog: 1024,
             connect: options.connect_timeout().unwrap_or(ms(250)),
@@ -104,7 +110,8 @@
             counter_idle: ms(4000),
             counter_silence: ms(1000),
             counter_again: ms(100),
-            list_silence: ms(4500),
+            list_silence: ms(3000),
+            list_first: ms(1000),
             list_again: ms(200),
             ready: ms(1000),
             accept_again: ms(20),
--- a/ingress/src/routing/discovery.rs
+++ b/ingress/src/routing/discovery.rs
@@ -85,7 +85,7 @@
             Ok(s)
         });
         watch.stream = opened.ok();
-        let wait = if watch.stream.is_some() { io.limits.list_silence } else { io.limits.list_again };
+        let wait = if watch.stream.is_some() { io.limits.list_first } else { io.limits.list_again };
         if let Some(stream) = &mut watch.stream {
             http::put_watch(stream.output(), &watch.address.to_string(), self.fleet.rev);
         }
--- a/ingress/src/routing/front.rs
+++ b/ingress/src/routing/front.rs
@@ -314,7 +314,7 @@
             match command {
                 Ok(Command::Request(ask)) => match core.submit(ask, io) {
                     Some(request) => client.pending.push_back(Pending::Waiting(request)),
-                    None => client.reply(b"-BUSY\r\n"),
+                    None => client.reply(&answer_bytes(Answer::Refused(Some(io.limits.busy_again)))),
                 },
                 Ok(Command::Reply(text)) => client.reply(text.as_bytes()),
                 Ok(Command::Quit) => {
@@ -345,9 +345,9 @@
         }
     }
 
-    /// Writes all answers of this round.
+    /// Writes all answers of this round, and those to what a client could say only once it was rid of others.
     pub fn flush(&mut self, core: &mut Core, io: &mut Io) {
-        for key in std::mem::take(&mut self.dirty) {
+        while let Some(key) = self.dirty.pop() {
             let Some(client) = self.clients.get_mut(key) else { continue };
             client.dirty = false;
             let Ok(unwritten) = client.stream.flush() else {
--- a/ingress/tests/sockets.rs
+++ b/ingress/tests/sockets.rs
@@ -80,6 +80,21 @@
     site.ended(&mut client);
 }
 
+#[test]
+fn more_commands_than_may_wait_are_all_answered_in_one_go_once_the_first_is() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    client.send(load(1));
+    client.send("*1\r\n$4\r\nPING\r\n".repeat(3000));
+    let (s, c, _) = site.arrival();
+    site.servers[s].ends[c].send(served("v"));
+    site.until("the first answer", |_| {
+        client.read();
+        !client.input.is_empty()
+    });
+    assert_eq!(client.text(), format!("$1\r\nv\r\n{}", "+PONG\r\n".repeat(3000)));
+}
+
 #[test]
 fn a_client_that_reads_nothing_stops_being_read_and_is_dropped() {
     let mut site = Site::new(1);
@@ -328,10 +343,12 @@
     site.tell(43, &[(0, "SERVING")]);
     site.until("the list", |s| s.program.list_version() == 43);
     site.talks = false;
-    site.advance(4600);
+    site.advance(2900);
+    assert_eq!(site.watches.len(), 1, "a line may be a little late");
+    site.advance(200);
     site.until("a second call", |s| s.watches.len() == 2);
     assert_eq!(site.watches[1], "GET /discovery/hosts?watch=1&after=43 HTTP/1.1");
-    site.advance(4600);
+    site.advance(1100);
     site.until("a third call", |s| s.watches.len() == 3);
 }
 
