Ask a troubled counter with a fifth of the tries at least, not a tenth

Cause: PACE_LEAST let the share of tries that ask fall to a tenth, so totals of a customer came seconds apart while requests were decided from the ledger.

--- a/src/control.rs
+++ b/src/control.rs
@@ -16,10 +16,11 @@
 const RARE: f64 = 2.0;
 const FEW: f64 = 6.0;
 /// The share of tries that ask the counter falls to DOWN of itself for each failed or late answer and grows
-/// by UP for each well inside the wait; never under LEAST, as one call must find a recovery.
+/// by UP for each well inside the wait; never under LEAST: under it a slow counter's
+/// last totals are missed more than its line is spared.
 const PACE_DOWN: f64 = 0.7;
 const PACE_UP: f64 = 1.3;
-const PACE_LEAST: f64 = 0.1;
+const PACE_LEAST: f64 = 0.2;
 const METER_GAIN: f64 = 0.5; // How far one reading of the meter moves the share that passes blind.
 /// Share of a ceiling that is spent only on a confirmed total; the rest is split evenly for spending alone.
 /// One half lets a single informed gateway of up to four pass a whole quota under a ceiling of 1.6 quotas;
