--- a/ingress/tests/properties.rs
+++ b/ingress/tests/properties.rs
@@ -5,6 +5,7 @@
 
 use common::*;
 use proptest::prelude::*;
+use roseyard_ingress::protocol::command::{self, Held};
 use roseyard_ingress::protocol::{http, list, report, resp};
 use roseyard_ingress::transport::{Deadlines, Key, Slots};
 use std::collections::BTreeMap;
@@ -131,6 +132,26 @@
         prop_assert_eq!(words(&bytes), said);
     }
 
+    #[test]
+    fn a_server_gets_what_the_client_said_but_for_the_deadline(
+        before in "([a-c]=[0-9a-f]{0,8},){0,3}",
+        after in "(,[e-z]x=[0-9a-f]{0,8}){0,3}",
+        (wait, said) in (1u64..100_000, 0u32..100_000),
+        body in prop::option::of(prop::collection::vec(any::<u8>(), 0..40)),
+    ) {
+        let list = |d: &str| format!("{before}d={d}{after}").into_bytes();
+        let (customer, id) = (b"00000000b4d65521".to_vec(), b"9b1f03aa5c7e2d41".to_vec());
+        let sent = [vec![b"API.WRITE".to_vec(), customer, id, list(&said.to_string())], Vec::from_iter(body)];
+        let mut sent = sent.concat();
+        let words: Vec<&[u8]> = sent.iter().map(Vec::as_slice).collect();
+        let request = command::request(&words).unwrap();
+        prop_assert_eq!((request.customer, request.wait_ms), (0xb4d6_5521, f64::from(said)));
+        let mut bytes = Vec::new();
+        Held::new(&words, &request).put(wait, &mut bytes);
+        sent[3] = list(&wait.to_string());
+        prop_assert_eq!(self::words(&bytes), sent);
+    }
+
     #[test]
     fn a_chunk_is_whole_at_its_last_byte_and_not_before(body in prop::collection::vec(any::<u8>(), 0..60)) {
         let mut bytes = format!("{:x}\r\n", body.len()).into_bytes();
