Reread the configuration on SIGHUP and move discovery and counter at once

Cause: program/mod.rs registered handlers for SIGTERM and SIGINT alone, so SIGHUP had its default effect.

Now handlers stand before the configuration is read; a flag for each signal goes up before the shared pipe tells. SIGHUP rereads the file without LB_DISCOVERY (old by then). The watch is reopened at the new address after the version held. A counter connection whose calls are out is kept until they are told, and calls that follow wait for them: answers for a name must come in the order of its calls. Sockets of the counter and of the watch carry a serial in their token, so that news of a replaced one cannot reach its successor in the same round.

--- a/ingress/src/program/config.rs
+++ b/ingress/src/program/config.rs
@@ -72,6 +72,15 @@
         Config::parse(text, |name| std::env::var(name).ok()).map_err(|e| format!("{path}: {e}"))
     }
 
+    /// Reads the file again. What it says of discovery holds over `LB_DISCOVERY`, which tells of the start and
+    /// is old by now; name and listener stay as they were started.
+    pub fn reread() -> Result<Config, String> {
+        let path = std::env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set".to_owned())?;
+        let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+        Config::parse(text, |name| std::env::var(name).ok().filter(|_| name != "LB_DISCOVERY"))
+            .map_err(|e| format!("{path}: {e}"))
+    }
+
     /// Decodes a configuration; `env` gives what goes before it.
     pub fn parse(mut text: Vec<u8>, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let raw: Raw = simd_json::serde::from_slice(&mut text).map_err(|e| e.to_string())?;
--- a/ingress/src/program/mod.rs
+++ b/ingress/src/program/mod.rs
@@ -13,14 +13,40 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
+/// The signals that the program answers to, from its first moment on: what comes before the loop waits in the
+/// pipe. Guards against a SIGHUP that finds no handler, which would end the process.
+pub struct Signals {
+    pipe: UnixStream,
+    reload: Arc<AtomicBool>,
+    leave: Arc<AtomicBool>,
+}
+
+impl Signals {
+    /// From now on SIGHUP, SIGTERM and SIGINT are taken note of.
+    pub fn watch() -> std::io::Result<Signals> {
+        use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+        let (pipe, sender) = UnixStream::pair()?;
+        pipe.set_nonblocking(true)?;
+        let (reload, leave) = (Arc::default(), Arc::default());
+        for (signal, flag) in [(SIGHUP, &reload), (SIGTERM, &leave), (SIGINT, &leave)] {
+            // The flag is up before the pipe tells.
+            signal_hook::flag::register(signal, Arc::clone(flag))?;
+            signal_hook::low_level::pipe::register(signal, sender.try_clone()?)?;
+        }
+        Ok(Signals { pipe, reload, leave })
+    }
+}
+
 /// An ingress between two rounds.
 pub struct Program {
     io: Io,
     core: Core,
     front: Front,
-    signals: Option<UnixStream>,
+    signals: Option<Signals>,
     phase: Phase,
     /// When `PING` is answered at the latest, and when the drain's next step is due.
     ready_due: Option<Duration>,
@@ -44,10 +70,11 @@
 
 /// Runs an ingress until SIGTERM or SIGINT has been served.
 pub fn run() -> Result<(), String> {
+    let signals = Signals::watch().map_err(|e| format!("signals: {e}"))?;
     let clock = Clock::start();
     let config = Config::read()?;
     let mut program = Program::start(&config, clock)?;
-    program.watch_signals()?;
+    program.heed(signals)?;
     loop {
         let wait = program.next_due().map(|at| at.saturating_sub(clock.now()));
         if !program.round(wait, || clock.now())? {
@@ -99,20 +126,31 @@
         })
     }
 
-    /// From now on SIGTERM and SIGINT begin the drain.
-    pub fn watch_signals(&mut self) -> Result<(), String> {
-        let wrong = |e: std::io::Error| format!("signals: {e}");
-        let (signals, sender) = UnixStream::pair().map_err(wrong)?;
-        signals.set_nonblocking(true).map_err(wrong)?;
-        for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-            let sender = sender.try_clone().map_err(wrong)?;
-            signal_hook::low_level::pipe::register(signal, sender).map_err(wrong)?;
-        }
-        self.io.poller.add_level(&signals, Party::Signal.token()).map_err(|e| wrong(e.into()))?;
+    /// From now on SIGHUP rereads the configuration, and SIGTERM and SIGINT begin the drain.
+    pub fn heed(&mut self, signals: Signals) -> Result<(), String> {
+        let token = Party::Signal.token();
+        self.io.poller.add_level(&signals.pipe, token).map_err(|e| format!("signals: {e}"))?;
         self.signals = Some(signals);
         Ok(())
     }
 
+    /// The configuration was read again: discovery and counter move to its addresses at once, all else stays
+    /// as it was started. One that cannot be read changes nothing.
+    pub fn reload(&mut self, read: Result<Config, String>) {
+        let io = &mut self.io;
+        match read {
+            Ok(config) => {
+                let counter = config.counter.map_or_else(|| "none".to_owned(), |c| c.to_string());
+                let discovery = config.discovery;
+                io.log.info(io.now, format_args!("reload: discovery at {discovery}, counter at {counter}"));
+                self.core.move_to(discovery, config.counter, io);
+            }
+            Err(wrong) => {
+                io.log.warn(io.now, format_args!("reload: {wrong}; the settings held stay in force"));
+            }
+        }
+    }
+
     /// Where clients connect.
     pub fn address(&self) -> Option<SocketAddr> {
         self.front.address()
@@ -196,8 +234,8 @@
         match Party::of_token(event.token) {
             Party::Client(key) => self.front.on_client(key, event, core, io),
             Party::Link(key) => core.on_link(key, event, io),
-            Party::Counter(n) => core.on_counter(n, event, io),
-            Party::Watch => core.on_watch(event, io),
+            Party::Counter(n, serial) => core.on_counter((n, serial), event, io),
+            Party::Watch(serial) => core.on_watch(serial, event, io),
             Party::Listener => self.front.accept(core, io),
             _ => self.on_signal(),
         }
@@ -209,8 +247,8 @@
             Party::Module => core.on_timer(),
             Party::Client(key) => self.front.on_client_due(key, core, io),
             Party::Link(key) => core.on_link_due(key, io),
-            Party::Counter(n) => core.on_counter_due(n, io),
-            Party::Watch => core.on_watch_due(io),
+            Party::Counter(n, _) => core.on_counter_due(n, io),
+            Party::Watch(_) => core.on_watch_due(io),
             Party::Listener => self.front.on_listener_due(core, io),
             Party::Ready => self.ready_due = None,
             Party::Drain => self.on_drain_due(),
@@ -221,7 +259,15 @@
     fn on_signal(&mut self) {
         let mut bytes = [0; 16];
         let Some(signals) = &mut self.signals else { return };
-        while matches!(signals.read(&mut bytes), Ok(n) if n > 0) {}
-        self.leave();
+        while matches!(signals.pipe.read(&mut bytes), Ok(n) if n > 0) {}
+        let reload = signals.reload.swap(false, Ordering::SeqCst);
+        let leave = signals.leave.swap(false, Ordering::SeqCst);
+        // Also while it leaves: what it still holds is counted and sent on by the new addresses.
+        if reload {
+            self.reload(Config::reread());
+        }
+        if leave {
+            self.leave();
+        }
     }
 }
--- a/ingress/src/routing/core.rs
+++ b/ingress/src/routing/core.rs
@@ -118,6 +118,21 @@
         Ok(core)
     }
 
+    /// Discovery and the counter are at these addresses from now on. What is open stays open.
+    pub fn move_to(&mut self, discovery: SocketAddr, counter: Option<SocketAddr>, io: &mut Io) {
+        if self.watch.move_to(discovery) {
+            self.watch_open(io);
+        }
+        match (&mut self.counter, counter) {
+            (Some(held), Some(address)) => held.move_to(address, io, &mut self.events),
+            (None, None) => {}
+            _ => io.log.warn(
+                io.now,
+                format_args!("reload: a counter that comes or goes takes effect at the next start"),
+            ),
+        }
+    }
+
     /// Has discovery answered on this watch?
     pub fn told(&self) -> bool {
         self.watch.told
--- a/ingress/src/routing/counter.rs
+++ b/ingress/src/routing/counter.rs
@@ -13,6 +13,8 @@
 /// The counter's connections.
 pub(super) struct Counter {
     address: SocketAddr,
+    /// Counts the addresses that the counter has had.
+    epoch: u32,
     host: String,
     timeout: Duration,
     wires: Vec<Wire>,
@@ -21,6 +23,10 @@
 #[derive(Default)]
 struct Wire {
     stream: Option<Stream>,
+    /// Which of the counter's addresses, counted over all reloads, the stream leads to.
+    epoch: u32,
+    /// Counts the streams that it has had: news of one that is gone must not reach its successor.
+    serial: u32,
     up: bool,
     calls: VecDeque<Call>,
     /// Calls at the front whose time is over: told as unknown, their answers still to come.
@@ -62,8 +68,13 @@
         self.retry = now + again;
     }
 
-    fn put_calls(&mut self, host: &str, now: Duration) {
-        let Some(stream) = self.stream.as_mut().filter(|_| self.up) else { return };
+    /// Calls that were put on the connection and not told of yet.
+    fn untold(&self) -> bool {
+        self.calls.get(self.late).is_some_and(|c| c.end.is_some())
+    }
+
+    fn put_calls(&mut self, host: &str, epoch: u32, now: Duration) {
+        let Some(stream) = self.stream.as_mut().filter(|_| self.up && self.epoch == epoch) else { return };
         if self.calls.front().is_none_or(|c| c.end.is_none()) {
             self.heard = now;
         }
@@ -85,14 +96,14 @@
         let idle = (self.up && self.calls.is_empty()).then_some(self.heard + io.limits.counter_idle);
         let opening = (self.stream.is_some() && !self.up).then_some(self.heard + io.limits.connect);
         let next = [call, silence, idle, opening].into_iter().flatten().min();
-        io.deadlines.set(&mut self.due, next, Party::Counter(n as u32));
+        io.deadlines.set(&mut self.due, next, Party::Counter(n as u16, 0));
     }
 }
 
 impl Counter {
     pub fn new(address: SocketAddr, timeout: Duration, limits: &Limits) -> Counter {
         let wires = (0..limits.counters.max(1)).map(|_| Wire::default()).collect();
-        Counter { address, host: address.to_string(), timeout, wires }
+        Counter { address, epoch: 0, host: address.to_string(), timeout, wires }
     }
 
     /// Makes a call. It ends in an event, at once if the counter cannot be reached just now.
@@ -115,22 +126,55 @@
             return Wire::tell(&call, CountResult::NotAdded, io.now, events);
         }
         wire.calls.push_back(call);
-        if wire.stream.is_none() {
-            (wire.heard, wire.up) = (io.now, false);
+        self.open(n, io, events);
+    }
+
+    /// Opens a connection for the calls that wait, and puts on it what may be put.
+    fn open(&mut self, n: usize, io: &mut Io, events: &mut VecDeque<Event>) {
+        let wire = &mut self.wires[n];
+        if wire.stream.is_none() && !wire.calls.is_empty() {
+            (wire.heard, wire.up, wire.epoch) = (io.now, false, self.epoch);
+            wire.serial = wire.serial.wrapping_add(1);
             let opened = connect(&self.address, io.limits.chunk_bytes);
             let opened = opened.and_then(|s| {
-                io.poller.add(s.fd(), Party::Counter(n as u32).token())?;
+                io.poller.add(s.fd(), Party::Counter(n as u16, wire.serial).token())?;
                 Ok(s)
             });
             match opened {
                 Ok(stream) => wire.stream = Some(stream),
-                Err(_) => return wire.fail(io.now, io.limits.counter_again, events),
+                Err(_) => wire.fail(io.now, io.limits.counter_again, events),
             }
         }
-        wire.put_calls(&self.host, io.now);
+        wire.put_calls(&self.host, self.epoch, io.now);
         wire.arm(n, self.timeout, io);
     }
 
+    /// The counter is at another address now. Calls that were put on an old connection are still awaited
+    /// there; those that follow wait for them, as answers for a name must come in the order of its calls.
+    pub fn move_to(&mut self, address: SocketAddr, io: &mut Io, events: &mut VecDeque<Event>) {
+        if address == self.address {
+            return;
+        }
+        (self.address, self.host) = (address, address.to_string());
+        self.epoch += 1;
+        for n in 0..self.wires.len() {
+            self.wires[n].retry = Duration::ZERO;
+            self.move_on(n, io, events);
+        }
+    }
+
+    /// Leaves an old address once nothing is awaited there.
+    fn move_on(&mut self, n: usize, io: &mut Io, events: &mut VecDeque<Event>) {
+        let wire = &mut self.wires[n];
+        if wire.stream.is_none() || wire.epoch == self.epoch || wire.untold() {
+            return;
+        }
+        wire.stream = None;
+        wire.calls.drain(..wire.late);
+        (wire.late, wire.put, wire.up, wire.dirty) = (0, 0, false, false);
+        self.open(n, io, events);
+    }
+
     /// Writes all calls of this round.
     pub fn flush(&mut self, io: &mut Io, events: &mut VecDeque<Event>) {
         for n in 0..self.wires.len() {
@@ -146,16 +190,22 @@
     }
 
     /// A connection is ready.
-    pub fn on_ready(&mut self, n: u32, ready: Ready, io: &mut Io, events: &mut VecDeque<Event>) {
-        let n = n as usize;
-        let Some(wire) = self.wires.get_mut(n) else { return };
+    pub fn on_ready(
+        &mut self,
+        (n, serial): (u16, u32),
+        ready: Ready,
+        io: &mut Io,
+        events: &mut VecDeque<Event>,
+    ) {
+        let n = usize::from(n);
+        let Some(wire) = self.wires.get_mut(n).filter(|w| w.serial == serial) else { return };
         let Some(stream) = &mut wire.stream else { return };
         let mut good = true;
         if !wire.up && ready.writable {
             good = stream.connected().is_ok();
             if good {
                 wire.up = true;
-                wire.put_calls(&self.host, io.now);
+                wire.put_calls(&self.host, self.epoch, io.now);
                 wire.heard = io.now;
             }
         }
@@ -179,6 +229,7 @@
             wire.fail(io.now, again, events);
         }
         wire.arm(n, self.timeout, io);
+        self.move_on(n, io, events);
     }
 
     /// Matches answers to calls, oldest first. False if the connection is of no more use.
@@ -215,8 +266,8 @@
     }
 
     /// A deadline of a connection has come.
-    pub fn on_due(&mut self, n: u32, io: &mut Io, events: &mut VecDeque<Event>) {
-        let n = n as usize;
+    pub fn on_due(&mut self, n: u16, io: &mut Io, events: &mut VecDeque<Event>) {
+        let n = usize::from(n);
         let Some(wire) = self.wires.get_mut(n) else { return };
         wire.due = None;
         while let Some(call) = wire.calls.get(wire.late).filter(|c| c.made + self.timeout <= io.now) {
@@ -239,19 +290,20 @@
             wire.fail(io.now, Duration::ZERO, events);
         }
         wire.arm(n, self.timeout, io);
+        self.move_on(n, io, events);
     }
 }
 
 impl super::Core {
     /// A connection to the counter is ready.
-    pub fn on_counter(&mut self, n: u32, ready: Ready, io: &mut Io) {
+    pub fn on_counter(&mut self, wire: (u16, u32), ready: Ready, io: &mut Io) {
         if let Some(counter) = &mut self.counter {
-            counter.on_ready(n, ready, io, &mut self.events);
+            counter.on_ready(wire, ready, io, &mut self.events);
         }
     }
 
     /// A counter connection's deadline has come.
-    pub fn on_counter_due(&mut self, n: u32, io: &mut Io) {
+    pub fn on_counter_due(&mut self, n: u16, io: &mut Io) {
         if let Some(counter) = &mut self.counter {
             counter.on_due(n, io, &mut self.events);
         }
--- a/ingress/src/routing/discovery.rs
+++ b/ingress/src/routing/discovery.rs
@@ -12,6 +12,8 @@
 pub(super) struct Watch {
     address: SocketAddr,
     stream: Option<Stream>,
+    /// Counts the connections: news of one that is gone must not reach its successor.
+    serial: u32,
     up: bool,
     streaming: bool,
     line: Vec<u8>,
@@ -21,7 +23,23 @@
 
 impl Watch {
     pub fn new(address: SocketAddr) -> Watch {
-        Watch { address, stream: None, up: false, streaming: false, line: Vec::new(), due: None, told: false }
+        Watch {
+            address,
+            stream: None,
+            serial: 0,
+            up: false,
+            streaming: false,
+            line: Vec::new(),
+            due: None,
+            told: false,
+        }
+    }
+
+    /// Discovery is at another address now; false if it is the same.
+    pub fn move_to(&mut self, address: SocketAddr) -> bool {
+        let moved = self.address != address;
+        self.address = address;
+        moved
     }
 
     /// Reads on; whole lines go to `lines`. An error says why the watch is of no more use.
@@ -80,8 +98,10 @@
         let watch = &mut self.watch;
         (watch.up, watch.streaming) = (false, false);
         watch.line.clear();
+        watch.stream = None;
+        watch.serial = watch.serial.wrapping_add(1);
         let opened = connect(&watch.address, io.limits.chunk_bytes).and_then(|s| {
-            io.poller.add(s.fd(), Party::Watch.token())?;
+            io.poller.add(s.fd(), Party::Watch(watch.serial).token())?;
             Ok(s)
         });
         watch.stream = opened.ok();
@@ -89,15 +109,18 @@
         if let Some(stream) = &mut watch.stream {
             http::put_watch(stream.output(), &watch.address.to_string(), self.fleet.rev);
         }
-        io.deadlines.set(&mut watch.due, Some(io.now + wait), Party::Watch);
+        io.deadlines.set(&mut watch.due, Some(io.now + wait), Party::Watch(0));
     }
 
     /// The watch is ready.
-    pub fn on_watch(&mut self, ready: Ready, io: &mut Io) {
+    pub fn on_watch(&mut self, serial: u32, ready: Ready, io: &mut Io) {
+        if serial != self.watch.serial {
+            return;
+        }
         let mut lines = Vec::new();
         let state = self.watch.read(ready, io, &mut lines);
         for mut line in lines {
-            io.deadlines.set(&mut self.watch.due, Some(io.now + io.limits.list_silence), Party::Watch);
+            io.deadlines.set(&mut self.watch.due, Some(io.now + io.limits.list_silence), Party::Watch(0));
             if line.trim_ascii().is_empty() {
                 self.watch.told = true;
                 continue;
@@ -113,7 +136,7 @@
         if let Err(why) = state {
             io.log.warn(io.now, format_args!("discovery: {why}; calling again"));
             self.watch.stream = None;
-            io.deadlines.set(&mut self.watch.due, Some(io.now + io.limits.list_again), Party::Watch);
+            io.deadlines.set(&mut self.watch.due, Some(io.now + io.limits.list_again), Party::Watch(0));
         }
     }
 
--- a/ingress/src/routing/mod.rs
+++ b/ingress/src/routing/mod.rs
@@ -27,10 +27,10 @@
     Signal,
     /// The module's timer.
     Module,
-    /// The watch on discovery.
-    Watch,
-    /// A connection to the counter, by number.
-    Counter(u32),
+    /// The watch on discovery: which of its connections, counted from the start (0 for its deadline).
+    Watch(u32),
+    /// A connection to the counter, by number, and which of those that had this number (0 for its deadline).
+    Counter(u16, u32),
     /// A connection to a server.
     Link(Key),
     /// A client's connection.
@@ -54,8 +54,8 @@
         let (kind, rest) = match self {
             Party::Client(key) => (CLIENT, key.pack()),
             Party::Link(key) => (LINK, key.pack()),
-            Party::Counter(n) => (COUNTER, u64::from(n)),
-            Party::Watch => (WATCH, 0),
+            Party::Counter(n, serial) => (COUNTER, u64::from(serial) << 16 | u64::from(n)),
+            Party::Watch(serial) => (WATCH, u64::from(serial)),
             Party::Listener => (LISTENER, 0),
             Party::Signal | Party::Module | Party::Ready | Party::Drain => (SIGNAL, 0),
         };
@@ -68,8 +68,8 @@
         match token >> 56 {
             CLIENT => Party::Client(Key::unpack(rest)),
             LINK => Party::Link(Key::unpack(rest)),
-            COUNTER => Party::Counter(rest as u32),
-            WATCH => Party::Watch,
+            COUNTER => Party::Counter(rest as u16, (rest >> 16) as u32),
+            WATCH => Party::Watch(rest as u32),
             LISTENER => Party::Listener,
             _ => Party::Signal,
         }
--- a/ingress/tests/common/mod.rs
+++ b/ingress/tests/common/mod.rs
@@ -297,6 +297,16 @@
         }
     }
 
+    /// Discovery and counter move to new addresses, and the ingress rereads its configuration. The counter
+    /// that it had is handed back, not served any more.
+    pub fn reload(&mut self) -> Counter {
+        let old = std::mem::replace(&mut self.counter, Counter::new());
+        self.discovery = Party::new();
+        let text = config(&self.counter.party, &self.discovery, &self.servers, 1024);
+        self.program.reload(Config::parse(text.into(), |_| None));
+        old
+    }
+
     /// Moves the clock.
     pub fn advance(&mut self, ms: u64) {
         self.now += Duration::from_millis(ms);
--- a/ingress/tests/process.rs
+++ b/ingress/tests/process.rs
@@ -19,7 +19,9 @@
 
 impl Running {
     fn start(name: &str, text: &str) -> Running {
-        Running::start_with(name, text, Command::new(env!("CARGO_BIN_EXE_roseyard")))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_roseyard"));
+        command.env_remove("LB_DISCOVERY");
+        Running::start_with(name, text, command)
     }
 
     fn start_with(name: &str, text: &str, mut command: Command) -> Running {
@@ -29,7 +31,6 @@
             .env("LB_CONFIG", &config)
             .env_remove("LB_NAME")
             .env_remove("LB_LISTEN")
-            .env_remove("LB_DISCOVERY")
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
@@ -45,8 +46,12 @@
         stream
     }
 
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
     fn terminate(&mut self) -> ExitStatus {
-        kill_process(Pid::from_child(&self.child), Signal::TERM).unwrap();
+        self.signal(Signal::TERM);
         self.child.wait().unwrap()
     }
 }
@@ -120,13 +125,35 @@
     line_with(&mut running.log, "stopped, 0 requests open");
 }
 
+#[test]
+fn sighup_rereads_the_file_over_the_start_s_discovery_and_a_bad_file_changes_nothing() {
+    let (counter, discovery) = (Party::new(), Party::new());
+    let text = config(&counter, &discovery, &[], 1024);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_roseyard"));
+    command.env("LB_DISCOVERY", discovery.address.to_string());
+    let mut running = Running::start_with("reload", &text, command);
+    let half = &text[..text.len() / 2];
+    std::fs::write(&running.config, half).unwrap();
+    running.signal(Signal::HUP);
+    line_with(&mut running.log, "warn: reload: ");
+    let moved = Party::new();
+    std::fs::write(&running.config, config(&counter, &moved, &[], 1024)).unwrap();
+    for _ in 0..2 {
+        running.signal(Signal::HUP);
+        line_with(&mut running.log, &format!("info: reload: discovery at {}", moved.address));
+    }
+    moved.blocking().accept().unwrap();
+    running.signal(Signal::HUP);
+    assert_eq!(running.terminate().code(), Some(0), "a reload beside the end does no harm");
+}
+
 #[test]
 fn without_descriptors_left_connections_between_requests_make_room() {
     let (counter, discovery) = (Party::new(), Party::new());
     // The configuration promises more than the system gives.
     let text = config(&counter, &discovery, &[], 1024);
     let mut shell = Command::new("/bin/sh");
-    shell.args(["-c", "ulimit -n 32; exec \"$0\"", env!("CARGO_BIN_EXE_roseyard")]);
+    shell.env_remove("LB_DISCOVERY").args(["-c", "ulimit -n 32; exec \"$0\"", env!("CARGO_BIN_EXE_roseyard")]);
     let mut running = Running::start_with("descriptors", &text, shell);
     line_with(&mut running.log, "info: ready");
     let mut clients = Vec::new();
--- a/ingress/tests/sockets.rs
+++ b/ingress/tests/sockets.rs
@@ -426,3 +426,66 @@
         !goes_on
     });
 }
+
+#[test]
+fn a_reload_moves_discovery_and_counter_at_once_and_loses_no_request_and_no_count() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    site.counter.counting = Counting::Silent;
+    client.send(load(1));
+    let calls = |c: &Counter| c.party.ends.iter().filter(|e| !e.input.is_empty()).count();
+    site.until("the call", |s| calls(&s.counter) == 1);
+    // Twice in a row: what is out at the first counter is awaited there all the same.
+    let mut first = site.reload();
+    site.reload();
+    site.until("the watch at the last address", |s| s.watches.len() >= 2 && s.discovery.ends.len() == 1);
+    // The same customer's next call must not overtake the one that is out.
+    client.send(load(2));
+    for _ in 0..5 {
+        site.round();
+    }
+    assert_eq!((calls(&first), calls(&site.counter)), (1, 0));
+    first.counting = Counting::Answers;
+    first.serve();
+    let (_, c, words) = site.arrival();
+    assert!(words[2].ends_with('1'), "the old counter's total decided: {words:?}");
+    site.servers[0].ends[c].send(served("one"));
+    let (_, c, words) = site.arrival();
+    assert!(words[2].ends_with('2'), "{words:?}");
+    assert_eq!(site.counter.calls.len(), 1, "the second call went to the new address");
+    site.servers[0].ends[c].send(served("two"));
+    site.expect(&mut client, "$3\r\none\r\n$3\r\ntwo\r\n");
+    site.until("the old connection's end", |_| {
+        first.party.read();
+        first.party.ends.iter().all(|e| !e.open)
+    });
+}
+
+#[test]
+fn calls_that_wait_for_a_silent_old_counter_go_to_the_new_one_once_its_time_is_over() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    site.counter.counting = Counting::Silent;
+    client.send(load(1));
+    site.until("the call", |s| s.counter.party.ends.iter().any(|e| !e.input.is_empty()));
+    let _silent = site.reload();
+    site.advance(20);
+    client.send(load(2));
+    for _ in 0..5 {
+        site.round();
+    }
+    site.advance(11);
+    site.until("the call at the new address", |s| s.counter.calls.len() == 1);
+}
+
+#[test]
+fn a_configuration_that_cannot_be_read_changes_nothing() {
+    let mut site = Site::new(1);
+    site.program.reload(Err("half a file".into()));
+    let mut client = site.client();
+    client.send(load(1));
+    let (_, c, _) = site.arrival();
+    site.servers[0].ends[c].send(served("v"));
+    site.expect(&mut client, "$1\r\nv\r\n");
+    assert_eq!((site.counter.calls.len(), site.watches.len()), (1, 1));
+}
