--- a/ingress/tests/process.rs
+++ b/ingress/tests/process.rs
@@ -153,7 +153,11 @@
     // The configuration promises more than the system gives.
     let text = config(&counter, &discovery, &[], 1024);
     let mut shell = Command::new("/bin/sh");
-    shell.env_remove("LB_DISCOVERY").args(["-c", "ulimit -n 32; exec \"$0\"", env!("CARGO_BIN_EXE_roseyard")]);
+    shell.env_remove("LB_DISCOVERY").args([
+        "-c",
+        "ulimit -n 32; exec \"$0\"",
+        env!("CARGO_BIN_EXE_roseyard"),
+    ]);
     let mut running = Running::start_with("descriptors", &text, shell);
     line_with(&mut running.log, "info: ready");
     let mut clients = Vec::new();
