Take server answers in their one form only and let connections rest before reuse

A pooled connection was written to as soon as it was free: a second copy that arrives a network's way later would have been read as the next request's value, which is a lost request.

Lines at fault: routing/attempts.rs meaning(), on_answer() and start(), which popped the pool at once; fleet.rs kept a gone server's entry and connections beside a new one at its address; http.rs let headers of a 1xx answer frame a body, discovery.rs took one for a wrong answer.

Now served is the array of value, figures and report and nothing else; all else is an error that may have run and costs the connection; the rest of an answer must follow within 250 ms; a connection rests 20 ms and is peeked at before it is written to. Each has a test that fails without it.

--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -44,6 +44,11 @@
     pub connect: Duration,
     /// An idle connection to a server is dropped after this.
     pub link_idle: Duration,
+    /// A connection to a server rests so long after an answer: longer than what a server sends right behind it
+    /// is on its way.
+    pub link_rest: Duration,
+    /// Further bytes of a server's answer must follow its last ones within this.
+    pub answer_part: Duration,
     /// A probe must be answered by then.
     pub probe: Duration,
     /// A call to the counter has failed after this, or after the settings' time-out where that is longer.
@@ -110,6 +115,8 @@
             backlog: 1024,
             connect: options.connect_timeout().unwrap_or(ms(250)),
             link_idle: options.idle_connection().unwrap_or(ms(10_000)).mul_f64(0.8),
+            link_rest: ms(20),
+            answer_part: ms(250),
             probe: ms(250),
             counter_call: ms(250),
             counter_part: ms(25),
--- a/ingress/src/protocol/http.rs
+++ b/ingress/src/protocol/http.rs
@@ -41,7 +41,9 @@
     let status = first.strip_prefix("HTTP/1.").and_then(|rest| rest.split(' ').nth(1));
     let status = status.and_then(|s| s.parse().ok()).ok_or(Malformed("no status line"))?;
     let mut found = Head { status, body: Body::UntilEnd, closes: first.starts_with("HTTP/1.0") };
-    if matches!(status, 100..=199 | 204 | 304) {
+    // These never have a body, whatever their headers say.
+    let bare = matches!(status, 100..=199 | 204 | 304);
+    if bare {
         found.body = Body::Length(0);
     }
     for line in lines {
@@ -50,7 +52,7 @@
         if name.eq_ignore_ascii_case("content-length") && found.body == Body::UntilEnd {
             let length = value.parse().ok().filter(|n| *n <= limits.value_bytes);
             found.body = Body::Length(length.ok_or(Malformed("invalid content-length"))?);
-        } else if name.eq_ignore_ascii_case("transfer-encoding") {
+        } else if name.eq_ignore_ascii_case("transfer-encoding") && !bare {
             if !value.eq_ignore_ascii_case("chunked") {
                 return Err(Malformed("unknown transfer-encoding"));
             }
--- a/ingress/src/routing/attempts.rs
+++ b/ingress/src/routing/attempts.rs
@@ -47,35 +47,62 @@
     }
 }
 
-/// What an answer means for an attempt: outcome, value and load report.
-fn meaning(value: &Value) -> (Outcome, Option<Vec<u8>>, Option<LoadReport>) {
-    match value {
-        Value::Bulk(Some(text)) => (Outcome::Ok, Some(text.to_vec()), None),
-        Value::Array(Some(items)) => match items.as_slice() {
-            [Value::Bulk(Some(text)), rest @ ..] => {
-                let load = match rest {
-                    [_, Value::Bulk(Some(load)), ..] => report(load),
-                    _ => None,
-                };
-                (Outcome::Ok, Some(text.to_vec()), load)
-            }
-            _ => (Outcome::Error, None, None),
-        },
-        Value::Error(text) => {
-            let outcome = if text.starts_with(b"BUSY") { Outcome::Full } else { Outcome::Error };
-            (outcome, None, text.rsplit(|b| *b == b' ').next().and_then(report))
+/// What came back for an attempt or a probe.
+struct Meaning {
+    outcome: Outcome,
+    value: Option<Vec<u8>>,
+    load: Option<LoadReport>,
+    /// It is no answer that a server gives: the connection is out of step.
+    spoilt: bool,
+}
+
+impl Meaning {
+    fn of(outcome: Outcome) -> Meaning {
+        Meaning { outcome, value: None, load: None, spoilt: false }
+    }
+
+    /// It may have run, and what came cannot be passed on.
+    fn spoilt() -> Meaning {
+        Meaning { spoilt: true, ..Meaning::of(Outcome::Error) }
+    }
+
+    /// An error line: words that can be read, of the two kinds that servers know.
+    fn error(text: &[u8]) -> Meaning {
+        let known = |kind: &[u8]| text == kind || text.starts_with(&[kind, b" "].concat());
+        let outcome = match (known(b"BUSY"), known(b"ERR")) {
+            _ if !text.iter().all(|b| (b' '..=b'~').contains(b)) => return Meaning::spoilt(),
+            (true, _) => Outcome::Full,
+            (_, true) => Outcome::Error,
+            // `-SYNTAX` and the like: said of what we wrote, and the server closes.
+            _ => return Meaning::spoilt(),
+        };
+        Meaning { load: text.rsplit(|b| *b == b' ').next().and_then(report), ..Meaning::of(outcome) }
+    }
+
+    /// Served is an array of the value, the figures on use and the load report, and nothing else: guards
+    /// against passing noise that happens to be a bulk string on as a value. Figures and report that cannot be
+    /// read are passed over.
+    fn of_attempt(value: &Value) -> Meaning {
+        match value {
+            Value::Array(Some(items)) => match items.as_slice() {
+                [Value::Bulk(Some(text)), _, load] => {
+                    let load = if let Value::Bulk(Some(load)) = load { report(load) } else { None };
+                    Meaning { value: Some(text.to_vec()), load, ..Meaning::of(Outcome::Ok) }
+                }
+                _ => Meaning::spoilt(),
+            },
+            Value::Error(text) => Meaning::error(text),
+            _ => Meaning::spoilt(),
         }
-        _ => (Outcome::Error, None, None),
     }
-}
 
-/// What an answer means for a probe.
-fn probe_meaning(value: &Value) -> (Outcome, Option<LoadReport>) {
-    match value {
-        Value::Bulk(Some(text)) => (Outcome::Ok, report(text)),
-        Value::Simple(_) => (Outcome::Ok, None),
-        Value::Error(text) if text.starts_with(b"BUSY") => (Outcome::Full, None),
-        _ => (Outcome::Error, None),
+    fn of_probe(value: &Value) -> Meaning {
+        match value {
+            Value::Bulk(Some(text)) => Meaning { load: report(text), ..Meaning::of(Outcome::Ok) },
+            Value::Simple(_) => Meaning::of(Outcome::Ok),
+            Value::Error(text) => Meaning::error(text),
+            _ => Meaning::spoilt(),
+        }
     }
 }
 
@@ -106,7 +133,7 @@
         if !self.timely(server, &job, io.now) {
             return self.ended(job, server, Outcome::Moot, None, io.now);
         }
-        if let Some(key) = self.fleet.get_mut(server).and_then(|s| s.idle.pop()) {
+        if let Some(key) = self.rested(server, io) {
             return self.write(key, job, io);
         }
         if self.links.len() >= io.limits.links && !self.evict_idle(io) {
@@ -134,6 +161,23 @@
         self.occupy(job, Some(key));
     }
 
+    /// Takes a connection out of a server's pool: the latest used that has rested. Guards against a second
+    /// answer, noise or an end that follows an answer: read as the next answer it would be another's value, and
+    /// a request written before an end was seen may have run.
+    fn rested(&mut self, server: ServerId, io: &mut Io) -> Option<Key> {
+        loop {
+            let pool = &self.fleet.get(server)?.idle;
+            let rested = |k: &Key| self.links.get(*k).is_some_and(|l| l.used + io.limits.link_rest <= io.now);
+            let at = pool.iter().rposition(rested)?;
+            let key = pool[at];
+            if self.links.get(key).is_some_and(|l| l.stream.quiet()) {
+                self.fleet.get_mut(server)?.idle.remove(at);
+                return Some(key);
+            }
+            self.close_link(key, io);
+        }
+    }
+
     /// Closes the idle connection that was used longest ago.
     pub(super) fn evict_idle(&mut self, io: &mut Io) -> bool {
         let idle = self.links.iter().filter(|(_, l)| matches!(l.state, State::Idle));
@@ -275,32 +319,36 @@
             return self.close_link(key, io);
         };
         let (value, used) = match resp::value(link.stream.input(), &io.limits) {
-            Ok(None) => return,
+            Ok(None) => {
+                // Guards against an answer that is shorter than it says, or has no end.
+                let at = (io.now + io.limits.answer_part).min(job.give_up);
+                return io.deadlines.set(&mut link.due, Some(at), Party::Link(key));
+            }
             Ok(Some(found)) => found,
             Err(wrong) => {
                 let server = link.server.0;
                 io.log.warn(io.now, format_args!("server {server}: malformed answer: {}", wrong.0));
-                return self.break_link(key, Outcome::Reset, io);
+                return self.break_link(key, Outcome::Error, io);
             }
         };
-        let (outcome, served, load) = match job.task {
-            Task::Attempt(..) => meaning(&value),
-            Task::Probe => {
-                let (outcome, load) = probe_meaning(&value);
-                (outcome, None, load)
-            }
+        let Meaning { outcome, value: served, load, spoilt } = match job.task {
+            Task::Attempt(..) => Meaning::of_attempt(&value),
+            Task::Probe => Meaning::of_probe(&value),
         };
+        if spoilt && !matches!(value, Value::Error(_)) {
+            io.log.warn(io.now, format_args!("server {}: no answer to what was asked", link.server.0));
+        }
         if let Value::Error(text) = value {
             let probe = job.task == Task::Probe;
-            if !probe && !text.starts_with(b"BUSY") && text != b"ERR failed" {
-                let text = String::from_utf8_lossy(text);
+            if !probe && !text.starts_with(b"BUSY") && !text.starts_with(b"ERR failed") {
+                let text = text[..text.len().min(80)].escape_ascii();
                 io.log.warn(io.now, format_args!("server {}: answered -{text}", link.server.0));
             }
         }
         link.stream.take(used);
         let server = link.server;
         // Whole and alone, or the connection is of no further use.
-        let clean = link.stream.input().is_empty() && link.stream.unwritten() == 0;
+        let clean = !spoilt && link.stream.input().is_empty() && link.stream.unwritten() == 0;
         if clean {
             self.rest(key, io);
         } else {
@@ -317,7 +365,7 @@
         let Some(link) = self.links.get_mut(key) else { return };
         let server = self.fleet.get_mut(link.server).filter(|s| s.state == ServerState::Ready);
         let Some(server) = server else { return self.close_link(key, io) };
-        link.state = State::Idle;
+        (link.state, link.used) = (State::Idle, io.now);
         link.stream.trim(8 * io.limits.chunk_bytes);
         io.deadlines.set(&mut link.due, Some(io.now + io.limits.link_idle), Party::Link(key));
         server.idle.push(key);
@@ -333,6 +381,10 @@
             State::Connecting(_) => self.break_link(key, Outcome::ConnectFailed, io),
             // We end it before its last byte: it never runs.
             State::Busy(_) if unwritten > 0 => self.break_link(key, Outcome::ConnectFailed, io),
+            State::Busy(job) if io.now < job.give_up => {
+                io.log.warn(io.now, format_args!("server {}: malformed answer: no end", server.0));
+                self.break_link(key, Outcome::Error, io);
+            }
             State::Busy(job) => {
                 self.break_link(key, Outcome::Timeout, io);
                 // Guards against a machine that vanished: its idle connections are silent too, and a request
--- a/ingress/src/routing/discovery.rs
+++ b/ingress/src/routing/discovery.rs
@@ -58,14 +58,16 @@
             return Ok(());
         }
         let filled = stream.fill(limits.list_bytes + limits.line_bytes, limits.chunk_bytes, ready.ended);
-        if !self.streaming {
+        while !self.streaming {
             match http::head(stream.input(), limits).map_err(|e| e.0)? {
+                // What comes before the answer is no answer.
+                Some((head, used)) if (100..=199).contains(&head.status) => stream.take(used),
                 Some((head, used)) if head.status == 200 && head.body == Body::Chunked => {
                     stream.take(used);
                     self.streaming = true;
                 }
                 Some(_) => return Err("not a watch"),
-                None => {}
+                None => break,
             }
         }
         while self.streaming {
--- a/ingress/src/routing/fleet.rs
+++ b/ingress/src/routing/fleet.rs
@@ -16,6 +16,8 @@
     /// What discovery last said of it.
     pub state: ServerState,
     started: Option<Duration>,
+    /// What the module was last told of it.
+    told: ServerEntry,
     /// Idle connections, the latest used last.
     pub idle: Vec<Key>,
     /// When bytes of it last arrived.
@@ -66,7 +68,12 @@
         let mut entries = Vec::with_capacity(list.targets.len());
         for target in &list.targets {
             match self.entry(target, zones, clock, &mut change.stale) {
-                Some(entry) => entries.push(entry),
+                Some((entry, settled)) => {
+                    if settled {
+                        self.supersede(entry.server, &mut entries, &mut change.stale);
+                    }
+                    entries.push(entry);
+                }
                 None => change.bad += 1,
             }
         }
@@ -91,13 +98,26 @@
         change
     }
 
+    /// Guards against a new server at the address of one that is gone but was not told gone: the old one's
+    /// connections, load and health are not the new one's.
+    fn supersede(&mut self, by: ServerId, entries: &mut Vec<ServerEntry>, stale: &mut Vec<Key>) {
+        let Some(address) = self.servers.get(&by).map(|s| s.address) else { return };
+        for (_, old) in self.servers.iter_mut().filter(|(id, s)| **id != by && s.address == address) {
+            old.state = ServerState::Gone;
+            stale.append(&mut old.idle);
+            entries.retain(|e| e.server != old.told.server);
+            entries.push(ServerEntry { state: ServerState::Gone, ..old.told.clone() });
+        }
+    }
+
+    /// Takes an entry in; true if a ready server has settled at an address that was not its own.
     fn entry(
         &mut self,
         target: &Target,
         zones: &[String],
         clock: &Clock,
         stale: &mut Vec<Key>,
-    ) -> Option<ServerEntry> {
+    ) -> Option<(ServerEntry, bool)> {
         let state = match target.state.as_str() {
             "SERVING" => ServerState::Ready,
             "DRAINING" => ServerState::Draining,
@@ -110,26 +130,29 @@
             self.next += 1;
             ServerId(self.next)
         });
+        let told = ServerEntry {
+            server: id,
+            zone: zones.iter().position(|z| *z == target.az).unwrap_or(0) as u16,
+            cell: target.pod_group,
+            state,
+            weight: target.capacity_hint,
+            started_at: started,
+        };
+        let known = self.servers.get(&id).map(|s| s.address);
         let server = self.servers.entry(id).or_insert_with(|| Server {
             uid: target.uid.clone(),
             address,
             state,
             started,
+            told: told.clone(),
             idle: Vec::new(),
             heard: Duration::ZERO,
         });
         if state != ServerState::Ready || server.started != started || server.address != address {
             stale.append(&mut server.idle);
         }
-        (server.address, server.state, server.started) = (address, state, started);
-        Some(ServerEntry {
-            server: id,
-            zone: zones.iter().position(|z| *z == target.az).unwrap_or(0) as u16,
-            cell: target.pod_group,
-            state,
-            weight: target.capacity_hint,
-            started_at: started,
-        })
+        (server.address, server.state, server.started, server.told) = (address, state, started, told.clone());
+        Some((told, state == ServerState::Ready && known != Some(address)))
     }
 }
 
@@ -193,6 +216,20 @@
         }
     }
 
+    #[test]
+    fn a_new_server_at_an_old_address_is_another_and_the_old_one_is_gone() {
+        let (mut fleet, clock) = (Fleet::default(), Clock::start());
+        fleet.apply(&list(1, true, &[("s-1", "SERVING", 7001, 0.0)]), &[], &clock);
+        let key = Slots::default().insert_with(|_| ());
+        fleet.get_mut(ServerId(1)).unwrap().idle.push(key);
+        let change = fleet.apply(&list(2, false, &[("s-2", "SERVING", 7001, 0.0)]), &[], &clock);
+        let ListUpdate::Changes(entries) = change.update else { panic!() };
+        let told: Vec<_> = entries.iter().map(|e| (e.server.0, e.state, e.cell)).collect();
+        assert_eq!(told, [(1, ServerState::Gone, 3), (2, ServerState::Ready, 3)]);
+        assert_eq!(change.stale, [key], "its connections go with it");
+        assert!(fleet.get(ServerId(1)).is_none() && fleet.get(ServerId(2)).unwrap().idle.is_empty());
+    }
+
     #[test]
     fn an_entry_that_cannot_be_read_leaves_the_others() {
         let (mut fleet, clock) = (Fleet::default(), Clock::start());
--- a/ingress/src/transport/stream.rs
+++ b/ingress/src/transport/stream.rs
@@ -2,7 +2,7 @@
 
 use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
 use rustix::io::{self, Errno};
-use rustix::net::{self, sockopt, AddressFamily, SendFlags, Shutdown, SocketFlags, SocketType};
+use rustix::net::{self, sockopt, AddressFamily, RecvFlags, SendFlags, Shutdown, SocketFlags, SocketType};
 use std::net::SocketAddr;
 
 /// What came of reading.
@@ -121,6 +121,31 @@
         }
     }
 
+    /// Is nothing to be read, not even an end? What has come since the last readiness shows here.
+    pub fn quiet(&self) -> bool {
+        let mut byte = [0; 1];
+        let seen = net::recv(&self.fd, &mut byte, RecvFlags::PEEK | RecvFlags::DONTWAIT);
+        self.input().is_empty() && matches!(seen, Err(Errno::AGAIN))
+    }
+
+    /// Throws away what waits, up to `limit` bytes, without holding any of it: TCP discards what is read with
+    /// TRUNC inside the kernel, so that a value of 60 MB costs neither memory nor copies.
+    pub fn discard(&mut self, limit: usize, scratch: &mut [u8]) -> (Fill, usize) {
+        self.input = Vec::new();
+        self.taken = 0;
+        let mut thrown = 0;
+        while thrown < limit {
+            match net::recv(&self.fd, &mut *scratch, RecvFlags::TRUNC | RecvFlags::DONTWAIT) {
+                Ok((_, 0)) => return (Fill::Ended, thrown),
+                Ok((_, n)) => thrown += n,
+                Err(Errno::INTR) => {}
+                Err(Errno::AGAIN) => return (Fill::Drained, thrown),
+                Err(_) => return (Fill::Broken, thrown),
+            }
+        }
+        (Fill::Limited, thrown)
+    }
+
     /// Bytes are appended here and go out with the next `flush`.
     pub fn output(&mut self) -> &mut Vec<u8> {
         &mut self.output
--- a/ingress/tests/sockets.rs
+++ b/ingress/tests/sockets.rs
@@ -45,6 +45,7 @@
         assert_eq!(c, 0, "the pooled connection");
         site.servers[0].ends[c].send(served("v"));
         site.expect(&mut client, "$1\r\nv\r\n");
+        site.advance(20);
     }
     site.advance(14_000);
     site.until("the pool is empty", |s| !s.servers[0].ends[0].open);
@@ -177,6 +178,122 @@
     site.expect(&mut client, "$1\r\nv\r\n");
 }
 
+const SPOILT: [&str; 10] = [
+    "\0\x01noise\r\n",
+    "+OK\r\n",
+    ":7\r\n",
+    "-\x07\r\n",
+    "$1\r\nv\r\n",
+    "*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+    "*2\r\n$1\r\nv\r\n$-1\r\n",
+    "*3\r\n$3000000000\r\nvvvvvvvvvvvvvvvvvvvv",
+    "*3\r\n$1\r\nvvvv\r\n$-1\r\n$-1\r\n",
+    "*3\r\n$900\r\nv\r\n$-1\r\n$-1\r\n",
+];
+
+#[test]
+fn a_spoilt_answer_may_have_run_and_costs_its_connection() {
+    for spoilt in SPOILT {
+        let mut site = Site::new(2);
+        let mut client = site.client();
+        for (command, answer) in
+            [(load(1), "$1\r\nv\r\n"), (request("API.WRITE", 2, SUBMIT), "-ERR failed\r\n")]
+        {
+            client.send(command);
+            let (s, c, words) = site.arrival();
+            site.servers[s].ends[c].send(spoilt);
+            site.until("its connection goes", |site| {
+                site.advance(30);
+                !site.servers[s].ends[c].open
+            });
+            if words[0] == "API.READ" {
+                let (other, c, again) = site.arrival();
+                assert_eq!((other, &again[2]), (1 - s, &words[2]), "what may be repeated is asked elsewhere");
+                site.servers[other].ends[c].send(served("v"));
+            }
+            site.expect(&mut client, answer);
+        }
+        assert_eq!(site.servers.iter_mut().find_map(|s| s.command()), None, "{spoilt:?}");
+    }
+}
+
+#[test]
+fn what_comes_behind_an_answer_is_never_the_next_ones() {
+    for (more, wait) in [(served("old"), 0), ("noise".into(), 0), (served("old"), 10), (served("old"), 19)] {
+        let mut site = Site::new(1);
+        let mut client = site.client();
+        client.send(load(1));
+        let (_, c, _) = site.arrival();
+        site.servers[0].ends[c].send(served("v"));
+        site.expect(&mut client, "$1\r\nv\r\n");
+        // The next request is there before the second copy.
+        site.advance(wait);
+        client.send(load(2));
+        let (_, next, _) = site.arrival();
+        site.servers[0].ends[c].send(&more);
+        site.until("the first connection goes", |s| !s.servers[0].ends[c].open);
+        site.servers[0].ends[next].send(served("new"));
+        site.expect(&mut client, "$3\r\nnew\r\n");
+        assert_ne!(c, next);
+    }
+}
+
+#[test]
+fn a_connection_that_ended_or_spoke_unasked_is_not_written_to() {
+    for bytes in ["", "+\r\n"] {
+        let mut site = Site::new(1);
+        let mut client = site.client();
+        client.send(load(1));
+        let (_, c, _) = site.arrival();
+        site.servers[0].ends[c].send(served("v"));
+        site.expect(&mut client, "$1\r\nv\r\n");
+        site.now += std::time::Duration::from_millis(50);
+        // Both wait when the ingress wakes.
+        client.send(load(2));
+        match bytes {
+            "" => site.servers[0].ends[c].hang_up(),
+            _ => site.servers[0].ends[c].send(bytes),
+        }
+        let (_, next, _) = site.arrival();
+        assert_ne!(c, next);
+    }
+}
+
+#[test]
+fn figures_that_cannot_be_read_are_passed_over_and_the_value_served() {
+    for rest in ["$3\r\nx,y\r\n$9\r\nutil=nan,\r\n", ":-7\r\n+\u{1}\r\n", "$1\r\n\u{7}\r\n*-1\r\n"] {
+        let mut site = Site::new(1);
+        let mut client = site.client();
+        client.send(load(1));
+        let (_, c, _) = site.arrival();
+        site.servers[0].ends[c].send(format!("*3\r\n$1\r\nv\r\n{rest}"));
+        site.expect(&mut client, "$1\r\nv\r\n");
+    }
+}
+
+#[test]
+fn interim_answers_of_counter_and_discovery_are_skipped() {
+    let mut site = Site::new(1);
+    site.counter.counting = Counting::Silent;
+    let mut client = site.client();
+    client.send(load(1));
+    site.until("the call", |s| s.counter.party.ends.iter().any(|e| !e.input.is_empty()));
+    let end = site.counter.party.ends.iter_mut().find(|e| !e.input.is_empty()).unwrap();
+    end.send("HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n");
+    end.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n99");
+    assert!(site.line(&mut client).starts_with("-BUSY "));
+    site.talks = false;
+    site.discovery.ends.clear();
+    site.advance(300);
+    site.advance(201);
+    site.until("a second watch", |s| s.watches.len() == 2);
+    let list = "{\"rev\":50,\"all\":false,\"targets\":[]}\n";
+    let end = site.discovery.ends.last_mut().unwrap();
+    end.send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    end.send(format!("{:x}\r\n{list}\r\n", list.len()));
+    site.until("the list", |s| s.program.list_version() == 50);
+}
+
 #[test]
 fn a_keyed_request_whose_connection_broke_after_its_last_byte_fails_and_is_not_called_harmless() {
     let mut site = Site::new(2);
