Check every client field, end silent clients in time and bound work for each round

Now fields have one form and the settings' ranges, before anything is counted; open ids are held; 2.2 s bound silence and half commands, 6 s idleness; a round takes 64 commands and 1 MB of one client; all together hold an eighth of the memory; what follows an error is thrown away inside the kernel for up to 3 s or 128 MB. At the limit those that never asked are closed first. A test for each fails without it.

--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -20,6 +20,19 @@
     pub chunk_bytes: usize,
     /// Answers that a client may leave unread before its requests are.
     pub unread_bytes: usize,
+    /// What clients' connections hold together, parts of commands and unread answers; over it the one that
+    /// holds most is dropped.
+    pub client_bytes: usize,
+    /// Commands of one client taken in a round: the others have their turn before the next.
+    pub round_commands: usize,
+    /// Connections accepted in a round.
+    pub round_accepts: usize,
+    /// Bytes of one client thrown away in a round, and in all before it is cut off.
+    pub round_discard: usize,
+    /// In all.
+    pub discard: usize,
+    /// Most units of a request.
+    pub units: f64,
     /// Bytes of all requests held.
     pub held_bytes: usize,
     /// Requests held.
@@ -74,10 +87,18 @@
     pub accept_again: Duration,
     /// A client that takes in no byte of its answers for this long is dropped.
     pub client_stall: Duration,
+    /// A client that has asked nothing yet is dropped after this.
+    pub client_silent: Duration,
+    /// A client between requests is dropped after this.
+    pub client_idle: Duration,
+    /// A command must be whole this long after its first byte.
+    pub command_part: Duration,
     /// New connections are accepted for this long after SIGTERM.
     pub drain_accept: Duration,
     /// A connection whose sending we ended is closed after this at the latest.
     pub linger: Duration,
+    /// And after this once the process is to end.
+    pub last_linger: Duration,
     /// The process ends this long after it has stopped accepting at the latest.
     pub drain: Duration,
     /// Log lines a second; further ones are counted.
@@ -103,6 +124,13 @@
             list_bytes: 4 << 20,
             chunk_bytes: 2 << 10,
             unread_bytes: 256 << 10,
+            client_bytes: memory / 8,
+            round_commands: 64,
+            round_accepts: 64,
+            round_discard: 1 << 20,
+            discard: 128 << 20,
+            // An amount on the counter is at most 1e9.
+            units: options.most_units().unwrap_or(1e9),
             held_bytes: memory / 4,
             requests: options.max_open().unwrap_or(20_000),
             pipelined: 1024,
@@ -129,8 +157,12 @@
             ready: ms(1000),
             accept_again: ms(20),
             client_stall: ms(10_000),
+            client_silent: ms(2200),
+            client_idle: ms(6000),
+            command_part: ms(2200),
             drain_accept: ms(600),
-            linger: ms(500),
+            linger: ms(3000),
+            last_linger: ms(500),
             drain: longest.max(ms(3000)),
             log_lines: 50,
         }
--- a/ingress/src/program/mod.rs
+++ b/ingress/src/program/mod.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::Clock;
 use crate::limits::Limits;
-use crate::routing::front::Names;
+use crate::routing::front::Terms;
 use crate::routing::{Answer, Core, Front, Io, Party, Start};
 use crate::transport::{listen, Deadlines, Key, Poller, Ready};
 use config::Config;
@@ -95,11 +95,11 @@
         let mut io = Io { poller, deadlines: Deadlines::default(), now: clock.now(), log, limits };
         let listener = listen(&config.listen, limits.backlog)
             .map_err(|e| format!("listen on {}: {e}", config.listen))?;
-        let owned = |names: Vec<&str>| names.into_iter().map(str::to_owned).collect();
-        let names = Names { classes: owned(options.class_names()), plans: owned(options.plan_names()) };
-        let front = Front::new(listener, names, &io).map_err(|e| format!("listen: {e}"))?;
+        let settings = options.settings()?;
+        let terms = Terms::new(options, &settings, &limits);
+        let front = Front::new(listener, terms, &io).map_err(|e| format!("listen: {e}"))?;
         let start = Start {
-            settings: options.settings()?,
+            settings,
             seed: config.seed,
             zones: options.zone_names().to_vec(),
             clock,
@@ -171,13 +171,20 @@
         (self.core.open_requests(), self.core.open_links(), self.front.len())
     }
 
+    /// Requests open by their clients' numbers, and bytes held for clients' connections.
+    pub fn clients_hold(&self) -> (usize, usize) {
+        self.front.held()
+    }
+
     /// Waits, takes in what came, tells the module, writes what is to go out; `now` is read after the wait.
     /// False once all is done.
     pub fn round(&mut self, wait: Option<Duration>, now: impl FnOnce() -> Duration) -> Result<bool, String> {
+        let wait = if self.front.has_more() { Some(Duration::ZERO) } else { wait };
         let mut ready = std::mem::take(&mut self.ready);
         let mut answers = std::mem::take(&mut self.answers);
         self.io.poller.wait(wait, &mut ready).map_err(|e| format!("epoll: {e}"))?;
         self.io.now = now();
+        self.front.resume(&mut self.core, &mut self.io);
         for event in ready.drain(..) {
             self.on_ready(event);
         }
@@ -194,7 +201,7 @@
             self.core.run(&mut self.io);
             self.core.take_answers(&mut answers);
             for (owner, answer) in answers.drain(..) {
-                self.front.answer(owner, answer);
+                self.front.answer(owner, answer, &mut self.core, &mut self.io);
             }
             self.front.flush(&mut self.core, &mut self.io);
             if !self.core.has_news() {
@@ -236,7 +243,7 @@
             Party::Link(key) => core.on_link(key, event, io),
             Party::Counter(n, serial) => core.on_counter((n, serial), event, io),
             Party::Watch(serial) => core.on_watch(serial, event, io),
-            Party::Listener => self.front.accept(core, io),
+            Party::Listener => self.front.accept(io.limits.round_accepts, core, io),
             _ => self.on_signal(),
         }
     }
--- a/ingress/src/protocol/command.rs
+++ b/ingress/src/protocol/command.rs
@@ -2,11 +2,13 @@
 
 use super::resp::{decimal, put_array, put_bulk, put_bulk_of};
 
-/// A request as a client words it.
+/// A request as a client words it; every field is there and can be read.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Request<'a> {
     /// The customer's number.
     pub customer: u64,
+    /// The request's number.
+    pub id: u64,
     /// Name of the class.
     pub class: &'a str,
     /// Name of the customer's plan.
@@ -15,8 +17,12 @@
     pub wait_ms: f64,
     /// Units that it takes from the quota.
     pub units: f64,
-    /// Ingresses through which the customer's requests come.
+    /// Ingresses through which the customer's requests come, and the number of the first.
     pub spread: u32,
+    /// The first of them.
+    pub first: u32,
+    /// The idempotency key.
+    pub key: Option<u64>,
     /// Where the value of `d` stands in the list of names and values.
     deadline: (usize, usize),
 }
@@ -26,41 +32,80 @@
 
 /// Is this word the name of a request's command?
 pub fn is_request(word: &[u8]) -> bool {
-    word.eq_ignore_ascii_case(b"API.READ") || word.eq_ignore_ascii_case(b"API.WRITE")
+    is_read(word) || word.eq_ignore_ascii_case(b"API.WRITE")
+}
+
+/// Is it the one for classes that may safely be repeated?
+pub fn is_read(word: &[u8]) -> bool {
+    word.eq_ignore_ascii_case(b"API.READ")
+}
+
+/// 16 hex digits. Guards against what the standard parser takes beside them: a sign, fewer digits.
+fn hex(word: &[u8]) -> Option<u64> {
+    let good = word.len() == 16 && word.iter().all(u8::is_ascii_hexdigit);
+    u64::from_str_radix(std::str::from_utf8(word).ok().filter(|_| good)?, 16).ok()
+}
+
+/// A plain decimal number. Guards against signs, exponents, `nan` and `inf`, which the standard parser takes
+/// and which would reach the count of a customer.
+fn decimal_number(text: &str) -> Option<f64> {
+    let (whole, part) = text.split_once('.').unwrap_or((text, "0"));
+    let digits = |t: &str| (1..=12).contains(&t.len()) && t.bytes().all(|b| b.is_ascii_digit());
+    text.parse().ok().filter(|_| digits(whole) && digits(part))
+}
+
+/// Puts a field's value down, once.
+fn put<T>(place: &mut Option<T>, value: Option<T>, wrong: Wrong) -> Result<(), Wrong> {
+    match (&place, &value) {
+        (None, Some(_)) => *place = value,
+        _ => return Err(wrong),
+    }
+    Ok(())
 }
 
 /// Reads a request's words.
 pub fn request<'a>(words: &[&'a [u8]]) -> Result<Request<'a>, Wrong> {
-    let [_, customer, _, list, ..] = words else { return Err("wrong number of arguments") };
-    if words.len() > 5 {
+    let (4 | 5, [_, customer, id, list, ..]) = (words.len(), words) else {
         return Err("wrong number of arguments");
-    }
-    let text = |bytes: &'a [u8]| std::str::from_utf8(bytes).map_err(|_| "not a text");
-    let customer = u64::from_str_radix(text(customer)?, 16).map_err(|_| "invalid customer")?;
-    let list = text(list)?;
-    let mut found =
-        Request { customer, class: "", plan: "", wait_ms: 0.0, units: 1.0, spread: 1, deadline: (0, 0) };
+    };
+    let customer = hex(customer).filter(|c| *c < 1 << 33).ok_or("invalid customer")?;
+    let id = hex(id).ok_or("invalid request id")?;
+    let list = std::str::from_utf8(list).map_err(|_| "invalid list of names and values")?;
+    let (mut class, mut plan, mut wait, mut units) = (None, None, None, None);
+    let (mut spread, mut first, mut key, mut again) = (None, None, None, None);
     let mut at = 0;
     for item in list.split(',') {
         let (name, value) = item.split_once('=').ok_or("expected name=value")?;
-        let number = || value.parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0);
+        let whole = || value.parse::<u32>().ok().filter(|_| value.bytes().all(|b| b.is_ascii_digit()));
         match name {
-            "c" => found.class = value,
-            "t" => found.plan = value,
+            "c" => put(&mut class, Some(value), "invalid c")?,
+            "t" => put(&mut plan, Some(value), "invalid t")?,
             "d" => {
-                found.wait_ms = number().ok_or("invalid d")?;
-                found.deadline = (at + 2, at + item.len());
+                let place = (at + 2, at + item.len());
+                put(&mut wait, decimal_number(value).map(|ms| (ms, place)), "invalid d")?;
             }
-            "units" => found.units = number().ok_or("invalid units")?,
-            "spread" => found.spread = value.parse().map_err(|_| "invalid spread")?,
+            "units" => put(&mut units, decimal_number(value), "invalid units")?,
+            "spread" => put(&mut spread, whole(), "invalid spread")?,
+            "first" => put(&mut first, whole(), "invalid first")?,
+            "k" => put(&mut key, hex(value.as_bytes()), "invalid k")?,
+            "r" => put(&mut again, whole().filter(|r| *r <= 1), "invalid r")?,
             _ => {}
         }
         at += item.len() + 1;
     }
-    if found.deadline.0 == 0 {
-        return Err("d is missing");
-    }
-    Ok(found)
+    let (wait_ms, deadline) = wait.ok_or("d is missing")?;
+    Ok(Request {
+        customer,
+        id,
+        class: class.ok_or("c is missing")?,
+        plan: plan.ok_or("t is missing")?,
+        wait_ms,
+        units: units.ok_or("units is missing")?,
+        spread: spread.ok_or("spread is missing")?,
+        first: first.ok_or("first is missing")?,
+        key,
+        deadline,
+    })
 }
 
 /// A request's words, held for its attempts.
--- a/ingress/tests/common/mod.rs
+++ b/ingress/tests/common/mod.rs
@@ -27,13 +27,15 @@
     stream: TcpStream,
     pub input: Vec<u8>,
     pub open: bool,
+    /// It ended by a reset.
+    pub broken: bool,
 }
 
 impl End {
     pub fn new(stream: TcpStream) -> End {
         stream.set_nonblocking(true).unwrap();
         stream.set_nodelay(true).unwrap();
-        End { stream, input: Vec::new(), open: true }
+        End { stream, input: Vec::new(), open: true, broken: false }
     }
 
     pub fn connect(to: SocketAddr) -> End {
@@ -48,7 +50,7 @@
                 Ok(0) => self.open = false,
                 Ok(n) => self.input.extend_from_slice(&buf[..n]),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(_) => self.open = false,
+                Err(_) => (self.open, self.broken) = (false, true),
             }
         }
     }
@@ -58,6 +60,11 @@
         assert!(self.try_send(bytes), "loopback took only a part");
     }
 
+    /// Sends what loopback takes; how much it was.
+    pub fn send_some(&mut self, bytes: &[u8]) -> usize {
+        self.stream.write(bytes).unwrap_or(0)
+    }
+
     /// False once the other side takes in no more.
     pub fn try_send(&mut self, bytes: impl AsRef<[u8]>) -> bool {
         match self.stream.write_all(bytes.as_ref()) {
@@ -67,6 +74,11 @@
         }
     }
 
+    /// Ends the sending alone.
+    pub fn end_sending(&mut self) {
+        let _ = self.stream.shutdown(std::net::Shutdown::Write);
+    }
+
     /// Ends the connection.
     pub fn hang_up(&mut self) {
         let _ = self.stream.shutdown(std::net::Shutdown::Both);
@@ -233,8 +245,8 @@
     out
 }
 
-pub const LOAD: &str = "c=form-load,t=seedling,d=3000,units=1,spread=2,first=1";
-pub const SUBMIT: &str = "c=submit,t=seedling,d=3000,k=5c0f6e1a2b3d4c59,units=1,spread=2,first=1";
+pub const LOAD: &str = "c=form-load,t=seedling,d=3000,units=1,spread=1,first=0";
+pub const SUBMIT: &str = "c=submit,t=seedling,d=3000,k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0";
 
 pub fn load(id: u64) -> Vec<u8> {
     request("API.READ", id, LOAD)
@@ -251,9 +263,14 @@
     }
 
     pub fn with(servers: usize, sockets: usize) -> Site {
+        Site::of(servers, sockets, 192)
+    }
+
+    pub fn of(servers: usize, sockets: usize, memory_mb: usize) -> Site {
         let servers: Vec<Party> = (0..servers).map(|_| Party::new()).collect();
         let (counter, discovery) = (Counter::new(), Party::new());
         let text = config(&counter.party, &discovery, &servers, sockets);
+        let text = text.replace("\"memory_mb\":192", &format!("\"memory_mb\":{memory_mb}"));
         let clock = Clock::start();
         let program = Program::start(&Config::parse(text.into(), |_| None).unwrap(), clock).unwrap();
         let (now, watches) = (clock.now(), Vec::new());
--- a/ingress/tests/process.rs
+++ b/ingress/tests/process.rs
@@ -99,7 +99,7 @@
 fn the_program_serves_a_request_and_ends_well_on_sigterm() {
     let (server, counter, discovery) = (Party::new(), Party::new(), Party::new());
     let text = config(&counter, &discovery, std::slice::from_ref(&server), 1024);
-    answer_with(server.blocking(), b"first=1\r\n", "*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
+    answer_with(server.blocking(), b"first=0\r\n", "*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
     answer_with(counter.blocking(), b"\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
     answer_with(
         discovery.blocking(),
--- a/ingress/tests/properties.rs
+++ b/ingress/tests/properties.rs
@@ -134,12 +134,13 @@
 
     #[test]
     fn a_server_gets_what_the_client_said_but_for_the_deadline(
-        before in "([a-c]=[0-9a-f]{0,8},){0,3}",
+        before in "([ab]=[0-9a-f]{0,8},){0,3}",
         after in "(,[e-z]x=[0-9a-f]{0,8}){0,3}",
         (wait, said) in (1u64..100_000, 0u32..100_000),
         body in prop::option::of(prop::collection::vec(any::<u8>(), 0..40)),
     ) {
-        let list = |d: &str| format!("{before}d={d}{after}").into_bytes();
+        let rest = "c=x,t=y,units=1,spread=1,first=0";
+        let list = |d: &str| format!("{before}d={d}{after},{rest}").into_bytes();
         let (customer, id) = (b"00000000b4d65521".to_vec(), b"9b1f03aa5c7e2d41".to_vec());
         let sent = [vec![b"API.WRITE".to_vec(), customer, id, list(&said.to_string())], Vec::from_iter(body)];
         let mut sent = sent.concat();
--- a/ingress/tests/sockets.rs
+++ b/ingress/tests/sockets.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use roseyard_ingress::protocol::resp;
 
 #[test]
 fn a_request_is_passed_on_unchanged_but_for_its_deadline_and_its_value_comes_back() {
@@ -82,18 +83,28 @@
 }
 
 #[test]
-fn more_commands_than_may_wait_are_all_answered_in_one_go_once_the_first_is() {
+fn more_commands_than_may_wait_are_all_answered_in_order_once_the_first_is() {
     let mut site = Site::new(1);
     let mut client = site.client();
     client.send(load(1));
     client.send("*1\r\n$4\r\nPING\r\n".repeat(3000));
     let (s, c, _) = site.arrival();
     site.servers[s].ends[c].send(served("v"));
-    site.until("the first answer", |_| {
-        client.read();
-        !client.input.is_empty()
-    });
-    assert_eq!(client.text(), format!("$1\r\nv\r\n{}", "+PONG\r\n".repeat(3000)));
+    site.expect(&mut client, &format!("$1\r\nv\r\n{}", "+PONG\r\n".repeat(3000)));
+}
+
+#[test]
+fn one_client_with_much_to_say_does_not_keep_another_waiting() {
+    let mut site = Site::new(1);
+    let (mut rude, mut usual) = (site.client(), site.client());
+    rude.send("*1\r\n$4\r\nPING\r\n".repeat(3000));
+    usual.send(load(1));
+    let (s, c, _) = site.arrival();
+    site.servers[s].ends[c].send(served("v"));
+    site.expect(&mut usual, "$1\r\nv\r\n");
+    rude.read();
+    assert!(rude.input.len() < 3000 * 7, "its turn came before the other had all its answers");
+    site.expect(&mut rude, &"+PONG\r\n".repeat(3000));
 }
 
 #[test]
@@ -102,12 +113,21 @@
     let mut client = site.client();
     let pings = "*1\r\n$4\r\nPING\r\n".repeat(2000);
     // Far more answers than socket buffers hold: without a bound the ingress would go on answering.
-    let mut sent = 0;
-    while sent < 64 << 20 && client.try_send(&pings) {
-        sent += pings.len();
+    let (mut sent, mut rest) = (0, pings.as_bytes());
+    site.until("the ingress stops reading", |s| {
+        let n = client.send_some(rest);
+        (sent, rest) = (sent + n, &rest[n..]);
+        if rest.is_empty() {
+            rest = pings.as_bytes();
+        }
+        assert!(sent < 256 << 20, "the ingress reads on and on");
+        n == 0 && s.program.clients_hold().1 > 256 << 10
+    });
+    let held = site.program.clients_hold().1;
+    for _ in 0..20 {
         site.round();
     }
-    assert!(sent < 64 << 20, "the ingress stops reading");
+    assert!(site.program.clients_hold().1 <= held, "nothing more is answered");
     site.advance(10_001);
     site.until("it is dropped", |s| s.program.open().2 == 0);
 }
@@ -132,14 +152,51 @@
 fn a_wrong_command_is_told_and_the_connection_goes_on() {
     let mut site = Site::new(1);
     let mut client = site.client();
+    let list = |from: &str, to: &str| request("API.READ", 1, &LOAD.replace(from, to));
+    let word = |at: usize, text: &str| {
+        let mut out = Vec::new();
+        resp::put_array(&mut out, 4);
+        let words = ["API.READ", "00000000b4d65521", "0000000000000001", LOAD];
+        for (n, word) in words.into_iter().enumerate() {
+            resp::put_bulk(&mut out, if n == at { text } else { word }.as_bytes());
+        }
+        out
+    };
     let wrong = [
         request("API.READ", 1, "c=form-load"),
-        request("API.READ", 1, &LOAD.replace("form-load", "other")),
-        request("API.READ", 1, &LOAD.replace("seedling", "other")),
-        request("API.READ", 1, &LOAD.replace("d=3000", "d=soon")),
+        request("API.READ", 1, SUBMIT),
+        request("API.WRITE", 1, LOAD),
+        request("API.WRITE", 1, &SUBMIT.replace("k=5c0f6e1a2b3d4c59,", "")),
+        request("API.WRITE", 1, &SUBMIT.replace("5c0f6e1a2b3d4c59", "key")),
+        list("form-load", "other"),
+        list("seedling", "other"),
+        list("d=3000", "d=soon"),
+        list("d=3000", "d=nan"),
+        list("d=3000", "d=-1"),
+        list("d=3000", "d=1e3"),
+        list("d=3000", "d=0"),
+        list("d=3000", "d=3000,d=1"),
+        list("units=1", "units=0"),
+        list("units=1", "units=-2"),
+        list("units=1", "units=inf"),
+        list("units=1", "units=5"),
+        list("units=1", "units=1000000000000000"),
+        list("units=1,", ""),
+        list("spread=1", "spread=0"),
+        list("spread=1", "spread=2"),
+        list("spread=1", "spread=x"),
+        list("first=0", "first=1"),
+        list("first=0", "first=-1"),
+        word(1, "00000002b4d65521"),
+        word(1, "b4d65521"),
+        word(1, "+0000000b4d65521"),
+        word(2, ""),
+        word(2, "not a hex number"),
+        word(3, "\u{fffd},,="),
         b"*1\r\n$8\r\nAPI.READ\r\n".to_vec(),
         b"*1\r\n$5\r\nHELLO\r\n".to_vec(),
         b"*0\r\n".to_vec(),
+        b"*-1\r\n".to_vec(),
     ];
     for command in wrong {
         client.send(&command);
@@ -147,6 +204,133 @@
     }
     client.send("*1\r\n$4\r\nPING\r\n");
     site.expect(&mut client, "+PONG\r\n");
+    assert_eq!((site.counter.calls.len(), site.program.clients_hold().0), (0, 0), "no count was touched");
+}
+
+#[test]
+fn a_value_of_60_mb_is_told_at_its_length_and_discarded_as_it_streams() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    client.send("*5\r\n$9\r\nAPI.WRITE\r\n$60000000\r\n");
+    assert_eq!(site.line(&mut client), "-ERR Protocol error: value too long\r\n");
+    let part = vec![b'x'; 100_000];
+    let mut sent = 0;
+    while sent < 60_000_000 {
+        sent += part.len();
+        // What loopback does not take at once it takes after a round.
+        let mut rest: &[u8] = &part;
+        site.until("room", |_| {
+            rest = &rest[client.send_some(rest)..];
+            rest.is_empty()
+        });
+        assert!(site.program.clients_hold().1 < 1 << 20, "nothing of it is held");
+    }
+    client.end_sending();
+    site.ended(&mut client);
+    assert!(!client.broken, "an end, no reset");
+    site.until("it is gone", |s| s.program.open().2 == 0);
+}
+
+#[test]
+fn one_that_ended_its_sending_is_still_told_what_was_wrong() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    client.send("GET / HTTP/1.1\r\n\r\n");
+    client.end_sending();
+    assert!(site.line(&mut client).starts_with("-ERR Protocol error"));
+    site.ended(&mut client);
+}
+
+#[test]
+fn an_id_in_use_is_told_and_the_request_that_has_it_goes_on() {
+    let mut site = Site::new(1);
+    let (mut first, mut other) = (site.client(), site.client());
+    first.send(load(7));
+    let (_, c, _) = site.arrival();
+    other.send(load(7));
+    assert_eq!(site.line(&mut other), "-ERR request id in use\r\n");
+    drop(other);
+    site.until("the other has gone", |s| s.program.open().2 == 1);
+    site.servers[0].ends[c].send(served("v"));
+    site.expect(&mut first, "$1\r\nv\r\n");
+    assert_eq!(site.program.clients_hold(), (0, 0), "the id is free again");
+}
+
+#[test]
+fn silent_and_halting_clients_are_ended_in_time_and_usual_ones_later() {
+    let mut site = Site::new(1);
+    let (mut silent, mut halting, mut usual) = (site.client(), site.client(), site.client());
+    halting.send("*4\r\n$8\r\nAPI.");
+    usual.send("*1\r\n$4\r\nPING\r\n");
+    site.expect(&mut usual, "+PONG\r\n");
+    site.until("all are read", |s| s.program.open().2 == 3 && s.program.clients_hold().1 > 0);
+    site.advance(2100);
+    site.round();
+    assert_eq!(site.program.open().2, 3);
+    site.advance(101);
+    site.ended(&mut silent);
+    assert_eq!(site.line(&mut halting), "-ERR Protocol error: command not finished in time\r\n");
+    site.ended(&mut halting);
+    site.advance(3700);
+    site.round();
+    usual.read();
+    assert!(usual.open, "between requests for 5.9 s");
+    site.advance(101);
+    site.ended(&mut usual);
+}
+
+#[test]
+fn a_request_that_waits_keeps_its_connection() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    client.send(request("API.READ", 1, &LOAD.replace("d=3000", "d=60000")));
+    let (_, c, _) = site.arrival();
+    for _ in 0..10 {
+        site.advance(2000);
+    }
+    site.servers[0].ends[c].send(served("v"));
+    site.expect(&mut client, "$1\r\nv\r\n");
+}
+
+#[test]
+fn hundreds_that_say_nothing_take_no_place_of_one_that_asks() {
+    let mut site = Site::with(1, 64);
+    let mut usual = site.client();
+    usual.send("*1\r\n$4\r\nPING\r\n");
+    site.expect(&mut usual, "+PONG\r\n");
+    let silent: Vec<End> = (0..300)
+        .map(|_| {
+            let client = site.client();
+            site.round();
+            client
+        })
+        .collect();
+    assert!(site.program.open().2 <= 20, "{:?}", site.program.open());
+    usual.send(load(1));
+    let (_, c, _) = site.arrival();
+    site.servers[0].ends[c].send(served("v"));
+    site.expect(&mut usual, "$1\r\nv\r\n");
+    drop(silent);
+}
+
+#[test]
+fn what_clients_hold_together_is_bounded_by_the_memory() {
+    let mut site = Site::of(1, 1024, 32);
+    let mut usual = site.client();
+    let mut clients: Vec<End> = (0..120).map(|_| site.client()).collect();
+    let part = format!("*5\r\n$9\r\nAPI.WRITE\r\n$65536\r\n{}", "x".repeat(60_000));
+    for client in &mut clients {
+        client.send(&part);
+        for _ in 0..3 {
+            site.round();
+        }
+        assert!(site.program.clients_hold().1 <= 4 << 20);
+    }
+    assert!(site.program.open().2 < 100, "those that held most were dropped");
+    usual.send(load(1));
+    let (_, c, _) = site.arrival();
+    site.servers[0].ends[c].send(served("v"));
+    site.expect(&mut usual, "$1\r\nv\r\n");
 }
 
 #[test]
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -65,6 +65,8 @@
 struct Domain {
     counter_timeout_ms: f64,
     metering_ms: f64,
+    #[serde(default)]
+    most_units: f64,
     shared_counter: bool,
 }
 
@@ -177,6 +179,11 @@
         Some(ms(self.ceilings.connect_timeout_ms)).filter(|d| !d.is_zero())
     }
 
+    /// The most units that a request counts; none where the settings say nothing.
+    pub fn most_units(&self) -> Option<f64> {
+        Some(self.domain.most_units).filter(|n| *n > 0.0)
+    }
+
     /// The longest time that a client waits.
     pub fn longest_deadline(&self) -> Duration {
         self.classes.iter().map(|c| ms(c.deadline_ms)).max().unwrap_or_default()
