Hold quotas in the module where the counter bears only a part of the calls

A test of three gateways that ask for ten times one quota with one call in five late: 252 units sent on of 170.

Lines at fault in src/control.rs: Ledger::refill let units that are owed to the count fade at rate/spread a second, also of a quota in full use, so that the others never heard of up to a quarter of them; Ledger::settle gave back all that was assumed of the others at a window's edge, though their adds between the last total and the edge are in no total; on_request went on asking for tries far beyond the quota, which needed no answer, while others went unasked.

--- a/ingress/tests/sockets.rs
+++ b/ingress/tests/sockets.rs
@@ -591,12 +591,8 @@
     for _ in 0..3 {
         site.round();
     }
-    // With no further word of the counter the ledger knows.
+    // With no further word of the counter the ledger knows, at once.
     client.send(load(2));
-    site.until("the second call", |s| {
-        s.counter.party.ends.iter().any(|e| e.input.windows(4).filter(|w| w == b"\r\n\r\n").count() == 2)
-    });
-    site.advance(81);
     assert!(site.line(&mut client).starts_with("-BUSY "));
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -70,7 +70,7 @@
 const PROBE_EVERY: f64 = 1.0;
 const PROBE_EARN: f64 = 0.2;
 const SUBSCRIBE_AGAIN: f64 = 1.0; // Discovery is asked again so long after a call that failed.
-const FORGET_AFTER: f64 = 120.0; // Idle ledgers are dropped.
+const FORGET_AFTER: f64 = 30.0; // Idle ledgers are dropped: many customers come just once.
 const STALL: f64 = 0.25; // A gap so long between events (the sweep comes every 0.05 s) is our own stall.
 const EPS: f64 = 1e-6;
 
@@ -134,6 +134,7 @@
             // newcomer. Guards against customers seen rarely: debts of minutes, adds of nothing.
             (self.carry, self.life, self.level, self.assumed) = (0.0, None, self.burst, 0.0);
         }
+        let full = (self.level + self.rate * dt - self.burst).max(0.0);
         self.level = (self.level + self.rate * dt).min(self.burst);
         if let Some((rate, depth)) = self.ceiling {
             let (pooled, n) = (self.pooled(), self.spread);
@@ -142,20 +143,25 @@
                 self.pool = (self.pool + rate * pooled * dt).min(depth * pooled);
             }
         }
-        // Units owed since long are refilled: telling them late would charge them twice.
-        let refilled = self.rate / self.spread * dt;
-        self.carry -= refilled.min(self.carry.max(0.0));
+        // Units owed are refilled once the bucket overflows: telling them then would charge them twice. Until
+        // then the others must hear of all of them: what a quota in full use owes is not refilled.
+        self.carry -= full.min(self.carry.max(0.0));
     }
 
     /// Takes in a total. What was added beyond the own adds is the others' use since the last one.
-    fn settle(&mut self, total: f64, add: f64, now: f64) {
+    fn settle(&mut self, total: f64, add: f64, now: f64, pace: f64) {
         self.refill(now);
-        self.level = (self.level + self.assumed).min(self.burst);
-        self.assumed = 0.0;
         let newcomer = self.life.is_none();
         // Totals only grow: a lower one, or one after the life's end, is of a fresh one; the level stays.
         let fresh = total + EPS * total.abs() + EPS < self.known + add
             || self.life.is_none_or(|since| now >= since + self.window);
+        // What the others added between the last total and the end of the old life is never told: it stays
+        // assumed, where totals are few. Guards against a part of a window passed twice at each edge.
+        let end = self.life.map_or(self.answered, |since| (since + self.window).clamp(self.answered, now));
+        let few = if fresh && !newcomer { (2.0 - 2.0 * pace).min(1.0) } else { 0.0 };
+        let unseen = self.others * (end - self.answered) * few;
+        self.level = (self.level + self.assumed).min(self.burst) - unseen;
+        self.assumed = 0.0;
         if fresh {
             (self.known, self.life) = (0.0, Some(now));
             // Seen rarely: so much passes of a life; twice that (an edge) and all alone parts fill it.
@@ -428,8 +434,9 @@
         ledger.refill(t);
         ledger.seen += 1.0;
         let asked = self.rng.f64() < self.flow.pace;
-        // A jam is not fed with tries that the ledger refuses anyway.
-        let called = counted && asked && !(self.flow.suspect && ledger.level < units);
+        // A jam is not fed with tries that the ledger refuses anyway, unless others must hear what is owed.
+        let hopeless = ledger.level + ledger.assumed < 0.0 && ledger.carry < units;
+        let called = counted && asked && !(self.flow.pace < 1.0 && hopeless);
         if called {
             // A try that the ledger has no room for asks without adding: its units would stand in the total
             // until this gateway's next add, and take room from the customer's tries elsewhere.
@@ -474,7 +481,7 @@
         let mut room = call.decided;
         match result {
             CountResult::Total(total) if total.is_finite() => {
-                ledger.settle(total, call.add, t);
+                ledger.settle(total, call.add, t, self.flow.pace);
                 room = room.or(Some(ledger.has_room(call.units, true)));
                 let inside = ledger.rate <= 0.0 || ledger.level + EPS >= call.units;
                 let share = if inside { 1.0 } else { ledger.burst / total.max(ledger.burst).max(EPS) };
--- a/tests/counter.rs
+++ b/tests/counter.rs
@@ -66,6 +66,43 @@
     assert!(granted(&mut w, 0, 0, 1, 30) <= 2);
 }
 
+#[test]
+fn a_quota_in_full_use_holds_while_only_a_part_of_the_tries_ask() {
+    // Three gateways ask for ten times one customer's quota, and every fifth call is late.
+    let mut w = World::new(settings(3), 3, 5);
+    for round in 0..1000 {
+        w.request(round % 3, 0, 0, 1);
+        w.advance(ms(20));
+        if round % 5 == 0 {
+            w.advance(ms(61));
+        }
+        w.count_all(CountMode::Answered);
+        w.end(0, Outcome::Ok);
+    }
+    // 32 s at 5 a second and a burst of 10 are 170. Units owed that fade, or an edge that forgets the others,
+    // each pass over 230.
+    let sent = w.sends.len();
+    assert!((130..=210).contains(&sent), "{sent} sent on of a quota of 170");
+}
+
+#[test]
+fn tries_far_beyond_the_quota_do_not_press_a_pressed_counter() {
+    let mut w = World::new(settings(3), 3, 5);
+    w.passes(0, 0, 1);
+    w.numbers.values_mut().for_each(|n| n.0 += 100.0);
+    w.passes(0, 0, 1);
+    w.request(0, 0, 0, 2);
+    w.count_all(CountMode::Refused);
+    for _ in 0..60 {
+        w.request(0, 0, 0, 1);
+    }
+    assert_eq!(w.counts.len(), 0, "the ledger refuses them whatever the total");
+    for k in 0..20 {
+        w.request(0, 0, 0, 10 + k);
+    }
+    assert!(w.counts.len() > 5, "others go on asking");
+}
+
 #[test]
 fn a_silent_counter_holds_a_request_only_for_a_short_wait() {
     let mut w = World::new(settings(3), 3, 5);
