Write nothing to an address that a server has left, also behind a connect

Seen while reading attempts.rs beside the fleet's rules: a connection that was being made, or was busy, when discovery told another address for the same server was written to, or put into the pool, as if it led to the new one: on_link() and rest() asked only whether the server is ready.

A connection now keeps the address that it leads to. The test fails without it.

--- a/ingress/src/routing/attempts.rs
+++ b/ingress/src/routing/attempts.rs
@@ -7,12 +7,15 @@
 use crate::protocol::resp::{self, Value};
 use crate::transport::{connect, is_fd_shortage, Fill, Key, Ready, Stream};
 use roseyard::*;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// A connection to a server.
 pub(super) struct Link {
     stream: Stream,
     server: ServerId,
+    /// Where it leads: the server may have moved since.
+    address: SocketAddr,
     state: State,
     used: Duration,
     due: Option<Duration>,
@@ -149,7 +152,8 @@
             return self.ended(job, server, Outcome::ConnectFailed, None, io.now);
         };
         let state = State::Connecting(job);
-        let key = self.links.insert_with(|_| Link { stream, server, state, used: io.now, due: None });
+        let key =
+            self.links.insert_with(|_| Link { stream, server, address, state, used: io.now, due: None });
         if let Some(link) = self.links.get_mut(key) {
             let at = (io.now + io.limits.connect).min(job.give_up);
             io.deadlines.set(&mut link.due, Some(at), Party::Link(key));
@@ -287,7 +291,9 @@
                 return self.break_link(key, Outcome::ConnectFailed, io);
             }
             let server = link.server;
-            if !self.timely(server, &job, io.now) {
+            // Guards against a request to a server's old address after it has moved.
+            let moved = self.fleet.get(server).is_some_and(|s| s.address != link.address);
+            if moved || !self.timely(server, &job, io.now) {
                 self.rest(key, io);
                 return self.ended(job, server, Outcome::Moot, None, io.now);
             }
@@ -363,7 +369,8 @@
     /// Puts a connection that is up and free into its server's pool.
     fn rest(&mut self, key: Key, io: &mut Io) {
         let Some(link) = self.links.get_mut(key) else { return };
-        let server = self.fleet.get_mut(link.server).filter(|s| s.state == ServerState::Ready);
+        let (server, address) = (self.fleet.get_mut(link.server), link.address);
+        let server = server.filter(|s| s.state == ServerState::Ready && s.address == address);
         let Some(server) = server else { return self.close_link(key, io) };
         (link.state, link.used) = (State::Idle, io.now);
         link.stream.trim(8 * io.limits.chunk_bytes);
--- a/ingress/tests/sockets.rs
+++ b/ingress/tests/sockets.rs
@@ -528,6 +528,40 @@
     assert_eq!(site.servers[0].command(), None);
 }
 
+#[test]
+fn nothing_goes_to_the_address_that_a_server_has_left() {
+    let mut site = Site::new(1);
+    site.servers[0].fill_up();
+    let (mut client, mut other) = (site.client(), site.client());
+    client.send(request("API.WRITE", 1, SUBMIT));
+    site.until("the connection is begun", |s| s.program.open().1 == 1);
+    let mut old = std::mem::replace(&mut site.servers[0], Party::new());
+    site.tell(42, &[(0, "SERVING")]);
+    site.until("the list", |s| s.program.list_version() == 42);
+    // Now it comes up at the old address.
+    old.empty();
+    site.until("the answer", |_| {
+        old.read();
+        client.read();
+        !client.input.is_empty()
+    });
+    assert!(client.text().starts_with("-BUSY "));
+    other.send(load(2));
+    let (_, c, _) = site.arrival();
+    old.read();
+    assert_eq!(old.command(), None);
+    // An answer from before the next move is passed on, its connection not used again.
+    let mut before = std::mem::replace(&mut site.servers[0], Party::new());
+    site.tell(43, &[(0, "SERVING")]);
+    site.until("the list", |s| s.program.list_version() == 43);
+    before.ends[c].send(served("v"));
+    site.expect(&mut other, "$1\r\nv\r\n");
+    site.until("its connection goes", |_| {
+        before.read();
+        !before.ends[c].open
+    });
+}
+
 #[test]
 fn a_silent_server_costs_its_connection_and_the_request_fails_at_its_end() {
     let mut site = Site::new(1);
