End connections that ask once after 2.2 s and keep more descriptors for clients

Ruled out: the counter (5% late), servers, requests turned away at the ingress's own limits (none), error lines to usual clients (none).

Lines at fault: Limits::new and Front::evict, which took one that asked once and stays for a usual client.

--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -87,7 +87,7 @@
     pub accept_again: Duration,
     /// A client that takes in no byte of its answers for this long is dropped.
     pub client_stall: Duration,
-    /// A client that has asked nothing yet is dropped after this.
+    /// A client that has asked nothing yet, or once, is dropped after this without a word.
     pub client_silent: Duration,
     /// A client between requests is dropped after this.
     pub client_idle: Duration,
@@ -134,8 +134,8 @@
             held_bytes: memory / 4,
             requests: options.max_open().unwrap_or(20_000),
             pipelined: 1024,
-            clients: left * 6 / 10,
-            links: left * 4 / 10,
+            clients: left * 3 / 4,
+            links: left / 4,
             counters,
             counter_calls: 4096,
             busy_again: ms(500),
--- a/ingress/src/routing/front.rs
+++ b/ingress/src/routing/front.rs
@@ -40,8 +40,8 @@
     /// Bytes of the answers that wait behind others.
     waiting: usize,
     phase: Phase,
-    /// Has it said a whole command that can be read?
-    proven: bool,
+    /// Commands that could be read; from the second on it is one that comes again.
+    asked: u32,
     /// An end was told of: only then is there more to see behind a short read.
     hup: bool,
     /// Reading stopped short until answers have gone out.
@@ -70,7 +70,7 @@
             first: 0,
             waiting: 0,
             phase: Phase::Open,
-            proven: false,
+            asked: 0,
             hup: false,
             blocked: false,
             queued: false,
@@ -129,7 +129,7 @@
         }
         let stall = self.stall.map(|(at, _)| at);
         let part = self.begun.map(|at| at + limits.command_part);
-        let idle = if self.proven { limits.client_idle } else { limits.client_silent };
+        let idle = if self.asked > 1 { limits.client_idle } else { limits.client_silent };
         let idle = Some(self.used + idle).filter(|_| self.free() && self.begun.is_none());
         [stall, part, idle].into_iter().flatten().min()
     }
@@ -321,12 +321,12 @@
     }
 
     /// Closes the connection between requests that is missed least: guards against silent or reconnecting
-    /// clients by the hundreds, which must not take the place of those that ask.
+    /// clients by the hundreds, and against those that ask once and stay, which must not take the place of
+    /// those that come again.
     fn evict(&mut self, but: &[Key], io: &mut Io) -> bool {
         let rank = |c: &Client| match c.phase {
             Phase::Lingering => 1,
-            _ if c.proven => 2,
-            _ => 0,
+            _ => c.asked.min(2) + u32::from(c.asked > 0),
         };
         let free = self.clients.iter().filter(|(key, c)| c.free() && !but.contains(key));
         let Some((key, _)) = free.min_by_key(|(_, c)| (rank(c), c.used)) else { return false };
@@ -493,7 +493,9 @@
                 Err(wrong) => (Err(wrong), 0),
             };
             (at, taken) = (at + used, taken + 1);
-            client.proven |= matches!(command, Ok(Command::Request(..) | Command::Reply(_)));
+            if matches!(command, Ok(Command::Request(..) | Command::Reply(_))) {
+                client.asked = client.asked.saturating_add(1);
+            }
             match command {
                 // Guards against one client that names another's open request: servers would drop one of them.
                 Ok(Command::Request(_, id)) if self.open.contains(&id) => {
