Admission: a package that decides who may connect, who goes first and who owns descriptors

Need: Front knows connections only by how often they asked and scans all of them to close one; caps by address, a reserve for known clients, a memory of addresses and one owner of descriptors are missing.

Change: package admission/, free of I/O and clock. Gate takes events and gives actions: standing by conduct and, where addresses tell clients apart, by address; caps and rates (GCRA) by client and neighbourhood; a reserve that is lent while it rests; rooms for silent and asked-once connections; lists threaded through slots, so that no decision scans. Nothing uses it yet.

--- /dev/null
+++ b/admission/benches/decisions.rs
@@ -0,0 +1,84 @@
+//! Time of one decision and memory of one address, by the number of addresses tracked.
+
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use roseyard_admission::*;
+use std::hint::black_box;
+use std::net::{IpAddr, Ipv6Addr};
+use std::time::Duration;
+
+fn peer(n: u64) -> IpAddr {
+    // Each in a /48 of its own.
+    IpAddr::V6(Ipv6Addr::from_bits(0x2001_u128 << 112 | u128::from(n.wrapping_mul(0x9e37_79b9)) << 80 | 1))
+}
+
+/// A gate that has seen so many addresses, with `open` connections held.
+fn gate(tracked: usize, open: usize) -> Gate {
+    let rate = Some(Rate { per_second: 1e6, burst: 1e6 });
+    let policy = Policy {
+        by_address: true,
+        per_client: Some(1 << 20),
+        per_neighbourhood: Some(1 << 20),
+        rate_client: rate,
+        rate_neighbourhood: rate,
+        remembered: tracked,
+        once_room: open,
+        silent_room: open,
+        ..Policy::of(open)
+    };
+    let mut gate = Gate::new(policy, 7, Duration::ZERO);
+    let mut out = Vec::new();
+    for n in 0..tracked as u64 {
+        let conn = Conn(n << 32);
+        gate.handle(Duration::ZERO, Event::Connected { conn, peer: peer(n) }, &mut out);
+        gate.handle(Duration::ZERO, Event::Closed { conn, fault: false }, &mut out);
+        out.clear();
+    }
+    for n in 0..open as u64 {
+        gate.handle(Duration::ZERO, Event::Connected { conn: Conn(n), peer: peer(n) }, &mut out);
+    }
+    gate
+}
+
+fn decisions(c: &mut Criterion) {
+    let mut connects = c.benchmark_group("connect, displace, close");
+    for tracked in [100, 10_000, 1_000_000] {
+        let mut gate = gate(tracked, 64);
+        let (_, _, _, bytes) = gate.remembered();
+        println!("{tracked} addresses tracked: {} bytes each in both tables", bytes / tracked);
+        let (mut n, mut out) = (0u64, Vec::new());
+        connects.bench_function(BenchmarkId::from_parameter(tracked), |b| {
+            b.iter(|| {
+                n += 1;
+                let now = Duration::from_millis(20 * n);
+                let conn = Conn(n << 32 | 64);
+                let peer = peer(n.wrapping_mul(2_654_435_761) % tracked as u64);
+                gate.handle(now, Event::Connected { conn, peer }, &mut out);
+                gate.handle(now, Event::Closed { conn, fault: false }, &mut out);
+                black_box(&out);
+                out.clear();
+            })
+        });
+    }
+    connects.finish();
+    let mut requests = c.benchmark_group("ask, answer, rest");
+    for open in [100, 10_000, 1_000_000] {
+        let mut gate = gate(open, open);
+        let (mut n, mut out) = (0u64, Vec::new());
+        requests.bench_function(BenchmarkId::from_parameter(open), |b| {
+            b.iter(|| {
+                n += 1;
+                let (now, conn) =
+                    (Duration::from_millis(n), Conn(n.wrapping_mul(2_654_435_761) % open as u64));
+                gate.handle(now, Event::Asked { conn, customer: n }, &mut out);
+                gate.handle(now, Event::Answered { conn, served: true }, &mut out);
+                gate.handle(now, Event::Rested(conn), &mut out);
+                black_box(&out);
+                out.clear();
+            })
+        });
+    }
+    requests.finish();
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- /dev/null
+++ b/admission/src/address.rs
@@ -0,0 +1,134 @@
+//! Addresses and prefixes as keys. An IPv4 address and the same one mapped into IPv6 (RFC 4291, section
+//! 2.5.5.2) are one: guards against a client that doubles its caps by the way it is written.
+
+use ipnet::IpNet;
+use std::collections::HashSet;
+use std::net::IpAddr;
+
+/// An address as 128 bits: IPv6 as it is, IPv4 in its mapped form.
+fn bits(address: IpAddr) -> u128 {
+    match address {
+        IpAddr::V4(v4) => v4.to_ipv6_mapped().to_bits(),
+        IpAddr::V6(v6) => v6.to_bits(),
+    }
+}
+
+fn is_v4(bits: u128) -> bool {
+    bits >> 32 == 0xffff
+}
+
+fn masked(bits: u128, len: u8) -> u128 {
+    match len {
+        0 => 0,
+        len => bits & (u128::MAX << (128 - len.min(128))),
+    }
+}
+
+/// How much of an address names a client and its neighbourhood.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Prefixes {
+    /// Bits of an IPv4 address that name a neighbourhood, 8 to 32.
+    pub v4: u8,
+    /// Bits of an IPv6 address that name one client, 32 to 128: a client usually has a whole /64 to itself.
+    pub v6_client: u8,
+    /// Bits of an IPv6 address that name a neighbourhood, 16 to 128.
+    pub v6: u8,
+}
+
+impl Default for Prefixes {
+    fn default() -> Self {
+        Prefixes { v4: 24, v6_client: 64, v6: 48 }
+    }
+}
+
+impl Prefixes {
+    /// What names the client at an address.
+    pub fn client(&self, address: IpAddr) -> u128 {
+        let bits = bits(address);
+        if is_v4(bits) {
+            bits
+        } else {
+            masked(bits, self.v6_client)
+        }
+    }
+
+    /// What names its neighbourhood.
+    pub fn neighbourhood(&self, address: IpAddr) -> u128 {
+        let bits = bits(address);
+        masked(bits, if is_v4(bits) { 96 + self.v4.min(32) } else { self.v6 })
+    }
+}
+
+/// The operator's own addresses and ranges. A look-up takes one step for each length of prefix in use, however
+/// many ranges there are.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Listed {
+    lengths: Vec<u8>,
+    ranges: HashSet<(u8, u128)>,
+}
+
+impl Listed {
+    /// These ranges; one address is a range of its own.
+    pub fn new(ranges: impl IntoIterator<Item = IpNet>) -> Listed {
+        let mut listed = Listed::default();
+        for range in ranges {
+            let bits = bits(range.network());
+            // A range of IPv6 that lies within the mapped addresses is one of IPv4.
+            let len = if let IpNet::V4(v4) = range { 96 + v4.prefix_len() } else { range.prefix_len() };
+            listed.ranges.insert((len, masked(bits, len)));
+            if !listed.lengths.contains(&len) {
+                listed.lengths.push(len);
+            }
+        }
+        listed
+    }
+
+    /// Is this address within one of the ranges?
+    pub fn contains(&self, address: IpAddr) -> bool {
+        let bits = bits(address);
+        self.lengths.iter().any(|len| self.ranges.contains(&(*len, masked(bits, *len))))
+    }
+
+    /// Ranges held.
+    pub fn len(&self) -> usize {
+        self.ranges.len()
+    }
+
+    /// Is nothing listed?
+    pub fn is_empty(&self) -> bool {
+        self.ranges.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ip(text: &str) -> IpAddr {
+        text.parse().unwrap()
+    }
+
+    #[test]
+    fn a_mapped_address_is_the_ipv4_address_in_every_key() {
+        let prefixes = Prefixes::default();
+        let (plain, mapped) = (ip("192.0.2.7"), ip("::ffff:192.0.2.7"));
+        assert_eq!(prefixes.client(plain), prefixes.client(mapped));
+        assert_eq!(prefixes.neighbourhood(plain), prefixes.neighbourhood(mapped));
+        assert_eq!(prefixes.neighbourhood(plain), prefixes.neighbourhood(ip("192.0.2.250")));
+        assert_ne!(prefixes.neighbourhood(plain), prefixes.neighbourhood(ip("192.0.3.7")));
+        assert_ne!(prefixes.client(plain), prefixes.client(ip("192.0.2.8")));
+        let listed = Listed::new(["192.0.2.0/24".parse().unwrap()]);
+        assert!(listed.contains(mapped) && !listed.contains(ip("192.0.3.1")));
+    }
+
+    #[test]
+    fn ipv6_clients_are_told_apart_by_64_bits_and_neighbours_by_48() {
+        let prefixes = Prefixes::default();
+        let (a, b, c) = (ip("2001:db8:1:2::1"), ip("2001:db8:1:2:ffff::9"), ip("2001:db8:1:3::1"));
+        assert_eq!(prefixes.client(a), prefixes.client(b));
+        assert_ne!(prefixes.client(a), prefixes.client(c));
+        assert_eq!(prefixes.neighbourhood(a), prefixes.neighbourhood(c));
+        let listed = Listed::new(["2001:db8::/32".parse().unwrap(), "::1/128".parse().unwrap()]);
+        assert!(listed.contains(a) && listed.contains(ip("::1")) && !listed.contains(ip("::2")));
+    }
+}
--- /dev/null
+++ b/admission/src/budget.rs
@@ -0,0 +1,131 @@
+//! One owner of all descriptors of the process.
+//!
+//! Each use has a guaranteed minimum and a most; what is between them is borrowed from what others leave
+//! unused, and never from what another use is guaranteed.
+
+/// What a descriptor is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Use {
+    /// Standard streams, readiness, the listener, signals: taken once at the start.
+    Fixed,
+    /// Connections of clients.
+    Clients,
+    /// Connections to servers.
+    Links,
+    /// Connections to the counter.
+    Counter,
+    /// The watch on discovery.
+    Discovery,
+    /// Files, such as a snapshot being written.
+    Files,
+    /// Held unused, to be let go of when the system has none left.
+    Spare,
+}
+
+/// All uses, by their index.
+pub const USES: [Use; 7] =
+    [Use::Fixed, Use::Clients, Use::Links, Use::Counter, Use::Discovery, Use::Files, Use::Spare];
+
+impl Use {
+    /// Its word in settings and logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Use::Fixed => "fixed",
+            Use::Clients => "clients",
+            Use::Links => "links",
+            Use::Counter => "counter",
+            Use::Discovery => "discovery",
+            Use::Files => "files",
+            Use::Spare => "spare",
+        }
+    }
+}
+
+/// What a use may hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Share {
+    /// Always there for it.
+    pub least: usize,
+    /// Never more, however many are unused.
+    pub most: usize,
+}
+
+/// Why shares do not fit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{least} descriptors are guaranteed, and there are {total}")]
+pub struct TooFew {
+    /// All minima together.
+    pub least: usize,
+    /// Descriptors there are.
+    pub total: usize,
+}
+
+/// Descriptors by use. A full set of shares costs a few additions a decision, whatever is open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Budget {
+    total: usize,
+    shares: [Share; USES.len()],
+    used: [usize; USES.len()],
+}
+
+impl Budget {
+    /// A budget of so many descriptors, by the order of [`USES`]. An error if the minima do not fit.
+    pub fn new(total: usize, shares: [Share; USES.len()]) -> Result<Budget, TooFew> {
+        let least = shares.iter().map(|s| s.least).sum();
+        if least > total {
+            return Err(TooFew { least, total });
+        }
+        Ok(Budget { total, shares, used: [0; USES.len()] })
+    }
+
+    /// Descriptors in all.
+    pub fn total(&self) -> usize {
+        self.total
+    }
+
+    /// What a use may hold.
+    pub fn share(&self, of: Use) -> Share {
+        self.shares[of as usize]
+    }
+
+    /// What a use holds.
+    pub fn used(&self, of: Use) -> usize {
+        self.used[of as usize]
+    }
+
+    /// Has this use borrowed from what others leave unused?
+    pub fn borrowed(&self, of: Use) -> usize {
+        self.used(of).saturating_sub(self.share(of).least)
+    }
+
+    /// Could one more be taken for this use?
+    pub fn has_room(&self, of: Use) -> bool {
+        let (share, used) = (self.share(of), self.used(of));
+        // What others hold, or are guaranteed if that is more.
+        let others: usize = USES
+            .into_iter()
+            .filter(|other| *other != of)
+            .map(|other| self.used(other).max(self.share(other).least))
+            .sum();
+        used < share.least || used < share.most && used + others < self.total
+    }
+
+    /// Takes one for this use; false if it may not have it.
+    #[must_use]
+    pub fn take(&mut self, of: Use) -> bool {
+        let has_room = self.has_room(of);
+        self.used[of as usize] += usize::from(has_room);
+        has_room
+    }
+
+    /// One of this use has been closed.
+    pub fn give(&mut self, of: Use) {
+        self.used[of as usize] = self.used[of as usize].saturating_sub(1);
+    }
+
+    /// Other shares hold from now on. What is held beyond them stays until it is given back.
+    pub fn set(&mut self, total: usize, shares: [Share; USES.len()]) -> Result<(), TooFew> {
+        *self = Budget { used: self.used, ..Budget::new(total, shares)? };
+        Ok(())
+    }
+}
--- /dev/null
+++ b/admission/src/policy.rs
@@ -0,0 +1,92 @@
+//! What the operator decides.
+
+use crate::address::{Listed, Prefixes};
+use crate::rate::Rate;
+use std::time::Duration;
+
+/// Settings of admission. Counts are connections unless said otherwise.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Policy {
+    /// Client connections in all.
+    pub places: usize,
+    /// Of these, places on which newcomers may connect but not have requests open, so that listed and known
+    /// clients find them at once.
+    pub reserve: usize,
+    /// Connections that have asked nothing yet and wait; beyond it the one that has waited longest goes.
+    pub silent_room: usize,
+    /// Connections between requests that have asked once; beyond it the one that has rested longest goes.
+    pub once_room: usize,
+    /// Does the address tell clients apart? Not behind a front that brings all of them from a few addresses.
+    pub by_address: bool,
+    /// Connections of one client address.
+    pub per_client: Option<u32>,
+    /// Connections of one neighbourhood of addresses.
+    pub per_neighbourhood: Option<u32>,
+    /// New connections of one client address.
+    pub rate_client: Option<Rate>,
+    /// New connections of one neighbourhood.
+    pub rate_neighbourhood: Option<Rate>,
+    /// What of an address names a client and its neighbourhood.
+    pub prefixes: Prefixes,
+    /// The operator's own addresses.
+    pub listed: Listed,
+    /// Served requests, halving with `known_half_life`, from which on an address or a customer is known.
+    pub known_after: f32,
+    /// Half-life of what was served.
+    pub known_half_life: Duration,
+    /// Faults, halving with `suspect_half_life`, from which on an address is suspect.
+    pub suspect_after: f32,
+    /// Half-life of faults.
+    pub suspect_half_life: Duration,
+    /// Connections at a time that are taken for more than newcomers because their customer is known; 0 for
+    /// none: a customer's name is easily said.
+    pub vouched: u32,
+    /// Addresses remembered without a connection open, and as many neighbourhoods and customers.
+    pub remembered: usize,
+    /// A connection that has asked nothing is ended after this.
+    pub silent: Duration,
+    /// And one that has asked once.
+    pub once: Duration,
+    /// And one that comes again.
+    pub idle: Duration,
+    /// A known client's connection is not closed for a newcomer's until it has rested for this.
+    pub guard: Duration,
+    /// No connection is closed for another before it has had this long to say its first command.
+    pub breath: Duration,
+    /// When those that are turned away are told to come again.
+    pub advice: Duration,
+    /// For so long after the start one served request makes a connection known.
+    pub warm_up: Duration,
+}
+
+impl Policy {
+    /// Defaults under so many places: addresses decide nothing, and conduct decides who goes first.
+    pub fn of(places: usize) -> Policy {
+        Policy {
+            places,
+            reserve: places / 8,
+            silent_room: (places / 2).max(1),
+            once_room: (places / 11).max(1),
+            by_address: false,
+            per_client: None,
+            per_neighbourhood: None,
+            rate_client: None,
+            rate_neighbourhood: None,
+            prefixes: Prefixes::default(),
+            listed: Listed::default(),
+            known_after: 3.0,
+            known_half_life: Duration::from_secs(3600),
+            suspect_after: 5.0,
+            suspect_half_life: Duration::from_secs(30),
+            vouched: 0,
+            remembered: 16_384,
+            silent: Duration::from_millis(2200),
+            once: Duration::from_millis(2200),
+            idle: Duration::from_secs(6),
+            guard: Duration::from_secs(1),
+            breath: Duration::from_millis(10),
+            advice: Duration::from_millis(500),
+            warm_up: Duration::from_secs(10),
+        }
+    }
+}
--- /dev/null
+++ b/admission/tests/model.rs
@@ -0,0 +1,303 @@
+//! Random steps against a naive reference: a plain list of connections that is scanned whole for every decision.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use roseyard_admission::*;
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr};
+use std::time::Duration;
+
+/// Told with every failure by the runner; another seed plays other steps.
+const SEED: u64 = 20_261_201;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Connect(u8),
+    Ask(usize),
+    Greet(usize),
+    Wrong(usize),
+    Answer(usize, bool),
+    End(usize),
+    Close(usize),
+    Shortage,
+    Places(usize),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let n = 0usize..64;
+    prop_oneof![
+        6 => (0u8..6).prop_map(Step::Connect),
+        6 => n.clone().prop_map(Step::Ask),
+        1 => n.clone().prop_map(Step::Greet),
+        1 => n.clone().prop_map(Step::Wrong),
+        6 => (n.clone(), any::<bool>()).prop_map(|(n, served)| Step::Answer(n, served)),
+        1 => n.clone().prop_map(Step::End),
+        1 => n.prop_map(Step::Close),
+        1 => Just(Step::Shortage),
+        1 => (2usize..14).prop_map(Step::Places),
+        6 => (1u64..900).prop_map(Step::Wait),
+    ]
+}
+
+#[derive(Clone, Debug)]
+struct Held {
+    conn: Conn,
+    address: u8,
+    asked: u32,
+    served: u32,
+    faults: u32,
+    ending: bool,
+    busy: Option<bool>,
+    /// Its standing when it was last lined up, when that was, and the order of line-ups.
+    rank: Standing,
+    since: Duration,
+    order: u64,
+}
+
+/// The reference.
+struct Naive {
+    policy: Policy,
+    held: Vec<Held>,
+    served: BTreeMap<u8, u32>,
+    faults: BTreeMap<u8, u32>,
+    order: u64,
+    warm_until: Duration,
+}
+
+impl Naive {
+    fn known(&self, address: u8) -> bool {
+        self.policy.by_address
+            && self.served.get(&address).is_some_and(|n| *n as f32 >= self.policy.known_after)
+    }
+
+    fn rank(&self, c: &Held, now: Duration) -> Standing {
+        let suspect = self.policy.by_address
+            && self.faults.get(&c.address).is_some_and(|n| *n as f32 >= self.policy.suspect_after);
+        let own = if now < self.warm_until { 1 } else { 2 };
+        match () {
+            () if c.ending => Standing::Ending,
+            () if c.faults > c.served || c.served == 0 && suspect => Standing::Suspect,
+            () if c.asked == 0 => Standing::Silent,
+            () if c.served >= own || self.known(c.address) => Standing::Known,
+            () if c.asked > 1 => Standing::Newcomer,
+            () => Standing::Once,
+        }
+    }
+
+    fn resting(&self) -> Vec<Held> {
+        let mut resting: Vec<Held> = self.held.iter().filter(|c| c.busy.is_none()).cloned().collect();
+        resting.sort_by_key(|c| (c.rank, c.order));
+        resting
+    }
+
+    fn victim(&self, for_one: Standing, now: Duration) -> Option<Conn> {
+        let mut seen = Vec::new();
+        self.resting()
+            .into_iter()
+            .find(|c| {
+                let first = !seen.contains(&c.rank);
+                seen.push(c.rank);
+                let rested = now - c.since;
+                first
+                    && match c.rank {
+                        Standing::Silent => for_one >= Standing::Known || rested >= self.policy.breath,
+                        Standing::Known => for_one >= Standing::Known || rested >= self.policy.guard,
+                        _ => true,
+                    }
+            })
+            .map(|c| c.conn)
+    }
+
+    fn drop(&mut self, conn: Conn, why: Why, out: &mut Vec<Action>) {
+        self.held.retain(|c| c.conn != conn);
+        out.push(Action::Close { conn, why });
+    }
+
+    fn line_up(&mut self, conn: Conn, now: Duration, out: &mut Vec<Action>) {
+        let Some(at) = self.held.iter().position(|c| c.conn == conn) else { return };
+        let rank = self.rank(&self.held[at], now);
+        self.order += 1;
+        (self.held[at].rank, self.held[at].order) = (rank, self.order);
+        let room = match rank {
+            Standing::Silent => self.policy.silent_room,
+            Standing::Once => self.policy.once_room,
+            _ => usize::MAX,
+        };
+        let alike: Vec<Held> = self.resting().into_iter().filter(|c| c.rank == rank).collect();
+        if alike.len() > room && (rank != Standing::Silent || now - alike[0].since >= self.policy.breath) {
+            self.drop(alike[0].conn, Why::Room, out);
+        }
+    }
+
+    fn rest(&mut self, conn: Conn, now: Duration, out: &mut Vec<Action>) {
+        let Some(c) = self.held.iter_mut().find(|c| c.conn == conn) else { return };
+        (c.busy, c.since) = (None, now);
+        let address = c.address;
+        let open = self.held.iter().filter(|c| c.address == address).count();
+        if self.policy.per_client.is_some_and(|cap| self.policy.by_address && open > cap as usize) {
+            return self.drop(conn, Why::ClientCap, out);
+        }
+        self.line_up(conn, now, out);
+        if self.held.len() > self.policy.places {
+            if let Some(first) = self.resting().first().map(|c| c.conn) {
+                self.drop(first, Why::Displaced, out);
+            }
+        }
+    }
+
+    fn connect(&mut self, conn: Conn, address: u8, now: Duration, out: &mut Vec<Action>) {
+        let open = self.held.iter().filter(|c| c.address == address).count();
+        let after = self.policy.advice;
+        if self.policy.per_client.is_some_and(|cap| self.policy.by_address && open >= cap as usize) {
+            return out.push(Action::TurnAway { conn, after, why: Why::ClientCap });
+        }
+        if self.held.len() >= self.policy.places {
+            let standing = if self.known(address) { Standing::Known } else { Standing::Newcomer };
+            match self.victim(standing, now) {
+                Some(victim) => self.drop(victim, Why::Displaced, out),
+                None => return out.push(Action::TurnAway { conn, after, why: Why::Full }),
+            }
+        }
+        let rank = Standing::Silent;
+        let (asked, served, faults, ending, busy) = (0, 0, 0, false, None);
+        let order = self.order;
+        let since = now;
+        self.held.push(Held { conn, address, asked, served, faults, ending, busy, rank, since, order });
+        self.line_up(conn, now, out);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, rng_seed: RngSeed::Fixed(SEED), ..ProptestConfig::default() })]
+
+    #[test]
+    fn every_decision_is_the_naive_reference_s(
+        by_address in any::<bool>(),
+        per_client in prop::option::of(1u32..5),
+        reserve in 0usize..4,
+        steps in prop::collection::vec(step(), 1..300),
+    ) {
+        let mut now = Duration::from_secs(100);
+        let policy = Policy {
+            reserve, by_address, per_client, remembered: 8, once_room: 3, silent_room: 4,
+            known_half_life: Duration::from_secs(1 << 30), suspect_half_life: Duration::from_secs(1 << 30),
+            warm_up: Duration::from_secs(5), ..Policy::of(8)
+        };
+        let mut naive = Naive {
+            policy: policy.clone(), held: Vec::new(), served: BTreeMap::new(), faults: BTreeMap::new(),
+            order: 0, warm_until: now + policy.warm_up,
+        };
+        let mut gate = Gate::new(policy, 7, now);
+        let mut generation = 0u64;
+        for step in steps {
+            let (mut done, mut wanted) = (Vec::new(), Vec::new());
+            let pick = |n: usize| naive.held.get(n % naive.held.len().max(1)).cloned();
+            match step {
+                Step::Wait(ms) => now += Duration::from_millis(ms),
+                Step::Connect(address) => {
+                    generation += 1;
+                    let slot = (0..).find(|s| naive.held.iter().all(|c| c.conn.0 as u32 != *s)).unwrap();
+                    let conn = Conn(generation << 32 | u64::from(slot));
+                    let peer = IpAddr::V4(Ipv4Addr::new(192, 0, 2, address));
+                    gate.handle(now, Event::Connected { conn, peer }, &mut done);
+                    naive.connect(conn, address, now, &mut wanted);
+                }
+                Step::Ask(n) => if let Some(c) = pick(n).filter(|c| !c.ending) {
+                    gate.handle(now, Event::Asked { conn: c.conn, customer: 1 }, &mut done);
+                    let lent = naive.policy.places.saturating_sub(naive.policy.reserve);
+                    let guests = naive.held.iter().filter(|c| c.busy == Some(true)).count();
+                    let at = naive.held.iter().position(|h| h.conn == c.conn).unwrap();
+                    naive.held[at].asked += 1;
+                    if c.busy.is_none() {
+                        let guest = naive.rank(&naive.held[at], now) < Standing::Known;
+                        if guest && guests >= lent {
+                            wanted.push(Action::Refuse { after: naive.policy.advice });
+                        } else {
+                            naive.held[at].busy = Some(guest);
+                        }
+                    }
+                },
+                Step::Greet(n) => if let Some(c) = pick(n).filter(|c| c.busy.is_none() && !c.ending) {
+                    gate.handle(now, Event::Greeted(c.conn), &mut done);
+                    gate.handle(now, Event::Rested(c.conn), &mut done);
+                    naive.held.iter_mut().find(|h| h.conn == c.conn).unwrap().asked += 1;
+                    naive.rest(c.conn, now, &mut wanted);
+                },
+                Step::Wrong(n) => if let Some(c) = pick(n).filter(|c| c.busy.is_none() && !c.ending) {
+                    gate.handle(now, Event::Wrong(c.conn), &mut done);
+                    gate.handle(now, Event::Rested(c.conn), &mut done);
+                    naive.held.iter_mut().find(|h| h.conn == c.conn).unwrap().faults += 1;
+                    *naive.faults.entry(c.address).or_default() += 1;
+                    naive.rest(c.conn, now, &mut wanted);
+                },
+                Step::Answer(n, served) => if let Some(c) = pick(n).filter(|c| c.busy.is_some()) {
+                    gate.handle(now, Event::Answered { conn: c.conn, served }, &mut done);
+                    gate.handle(now, Event::Rested(c.conn), &mut done);
+                    if served {
+                        naive.held.iter_mut().find(|h| h.conn == c.conn).unwrap().served += 1;
+                        *naive.served.entry(c.address).or_default() += 1;
+                    }
+                    naive.rest(c.conn, now, &mut wanted);
+                },
+                Step::End(n) => if let Some(c) = pick(n).filter(|c| c.busy.is_none()) {
+                    gate.handle(now, Event::Ending(c.conn), &mut done);
+                    naive.held.iter_mut().find(|h| h.conn == c.conn).unwrap().ending = true;
+                    naive.rest(c.conn, now, &mut wanted);
+                },
+                Step::Close(n) => if let Some(c) = pick(n) {
+                    gate.handle(now, Event::Closed { conn: c.conn, fault: false }, &mut done);
+                    naive.held.retain(|h| h.conn != c.conn);
+                },
+                Step::Shortage => {
+                    gate.handle(now, Event::Shortage, &mut done);
+                    match naive.victim(Standing::Newcomer, now) {
+                        Some(conn) => naive.drop(conn, Why::Displaced, &mut wanted),
+                        None => wanted.push(Action::Pause { until: now + naive.policy.breath }),
+                    }
+                }
+                Step::Places(places) => {
+                    naive.policy.places = places;
+                    gate.set_policy(naive.policy.clone(), now, &mut done);
+                    while naive.held.len() > places {
+                        let Some(first) = naive.resting().first().map(|c| c.conn) else { break };
+                        naive.drop(first, Why::Displaced, &mut wanted);
+                    }
+                }
+            }
+            prop_assert_eq!(&done, &wanted, "{:?}", step);
+            let busy = naive.held.iter().filter(|c| c.busy.is_some()).count();
+            prop_assert_eq!(gate.held(), naive.held.len());
+            prop_assert!(gate.held() <= naive.policy.places.max(busy), "beyond the places only with requests open");
+            let (clients, neighbours, customers, _) = gate.remembered();
+            prop_assert!(clients <= 8 + gate.held() && neighbours <= 8 + gate.held() && customers <= 8);
+            for c in &naive.held {
+                prop_assert_eq!(gate.standing(c.conn, now), Some(naive.rank(c, now)));
+            }
+        }
+    }
+
+    #[test]
+    fn shares_never_pass_the_total_and_minima_are_always_there(
+        total in 30usize..60,
+        steps in prop::collection::vec((0usize..7, any::<bool>()), 1..400),
+    ) {
+        let least = [3, 8, 6, 2, 1, 1, 1];
+        let shares = least.map(|least| Share { least, most: least * 4 });
+        let mut budget = Budget::new(total, shares).unwrap();
+        for (of, take) in steps {
+            let (of, held) = (USES[of], budget.used(USES[of]));
+            match take {
+                true => {
+                    let granted = budget.take(of);
+                    prop_assert!(granted || held >= budget.share(of).least, "a minimum was refused");
+                    prop_assert_eq!(budget.used(of), held + usize::from(granted));
+                }
+                false => budget.give(of),
+            }
+            prop_assert!(USES.iter().map(|u| budget.used(*u)).sum::<usize>() <= total);
+            let owed: usize = USES.iter().map(|u| budget.used(*u).max(budget.share(*u).least)).sum();
+            prop_assert!(owed <= total, "what is guaranteed is no longer there");
+        }
+    }
+}
