--- a/admission/src/gate.rs
+++ b/admission/src/gate.rs
@@ -195,7 +195,7 @@
     held: usize,
     /// Newcomers with requests open.
     busy_guests: usize,
-    /// Connections are known after one served request until then.
+    /// Connections that come again are known after one served request until then.
     warm_until: Duration,
     counts: [u64; REASONS.len()],
     refused: u64,
@@ -401,6 +401,7 @@
     /// never for one that has asked nothing: guards against a known address that only connects.
     fn rank(&self, place: &Place, now: Duration) -> Standing {
         let client = place.client.map(|at| self.clients.get(at));
+        // After a start many requests are refused that would not be later: one that comes again is known by one.
         let own = if now < self.warm_until { 1 } else { 2 };
         if place.ending {
             Standing::Ending
@@ -412,7 +413,7 @@
             Standing::Suspect
         } else if place.asked == 0 {
             Standing::Silent
-        } else if place.served >= own || client.is_some_and(|r| self.known(r, now)) {
+        } else if place.asked > 1 && place.served >= own || client.is_some_and(|r| self.known(r, now)) {
             Standing::Known
         } else if place.asked > 1 || place.vouched {
             Standing::Newcomer
--- a/admission/src/policy.rs
+++ b/admission/src/policy.rs
@@ -55,7 +55,8 @@
     pub breath: Duration,
     /// When those that are turned away are told to come again.
     pub advice: Duration,
-    /// For so long after the start one served request makes a connection known.
+    /// For so long after the start one served request makes a connection known that comes again; it takes two
+    /// later.
     pub warm_up: Duration,
 }
 
--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -1,5 +1,7 @@
 //! Every size, count and time of the ingress, filled once at start and handed down.
 
+use roseyard_admission::Use;
+use roseyard_operator::Effective;
 use roseyard_settings::Options;
 use std::time::Duration;
 
@@ -39,10 +41,6 @@
     pub requests: usize,
     /// Requests of one client connection that wait for answers.
     pub pipelined: usize,
-    /// Client connections.
-    pub clients: usize,
-    /// Connections to servers, in use and idle.
-    pub links: usize,
     /// Connections to the counter.
     pub counters: usize,
     /// Calls on one counter connection that wait for answers.
@@ -87,10 +85,6 @@
     pub accept_again: Duration,
     /// A client that takes in no byte of its answers for this long is dropped.
     pub client_stall: Duration,
-    /// A client that has asked nothing yet, or once, is dropped after this without a word.
-    pub client_silent: Duration,
-    /// A client between requests is dropped after this.
-    pub client_idle: Duration,
     /// A command must be whole this long after its first byte.
     pub command_part: Duration,
     /// New connections are accepted for this long after SIGTERM.
@@ -101,19 +95,14 @@
     pub last_linger: Duration,
     /// The process ends this long after it has stopped accepting at the latest.
     pub drain: Duration,
-    /// Log lines a second; further ones are counted.
-    pub log_lines: u32,
+    /// What admission did is told this often at most.
+    pub report: Duration,
 }
 
-/// Descriptors kept for standard streams, epoll, listener, signals and discovery.
-const RESERVED: usize = 24;
-
 impl Limits {
-    /// The limits under so many descriptors and so much memory, and by the settings.
-    pub fn new(sockets: usize, memory_mb: usize, options: &Options) -> Limits {
+    /// The limits under the operator's settings, so much memory, and the platform's settings.
+    pub fn new(operator: &Effective, memory_mb: usize, options: &Options) -> Limits {
         let ms = Duration::from_millis;
-        let counters = 8;
-        let left = sockets.saturating_sub(RESERVED + counters).max(8);
         let memory = memory_mb.max(32) << 20;
         let longest = options.longest_deadline();
         Limits {
@@ -134,9 +123,7 @@
             held_bytes: memory / 4,
             requests: options.max_open().unwrap_or(20_000),
             pipelined: 1024,
-            clients: left * 3 / 4,
-            links: left / 4,
-            counters,
+            counters: operator.share(Use::Counter).most,
             counter_calls: 4096,
             busy_again: ms(500),
             batch: 256,
@@ -157,14 +144,12 @@
             ready: ms(1000),
             accept_again: ms(20),
             client_stall: ms(10_000),
-            client_silent: ms(2200),
-            client_idle: ms(6000),
             command_part: ms(2200),
             drain_accept: ms(600),
             linger: ms(3000),
             last_linger: ms(500),
             drain: longest.max(ms(3000)),
-            log_lines: 50,
+            report: ms(5000),
         }
     }
 }
--- a/ingress/src/main.rs
+++ b/ingress/src/main.rs
@@ -1,10 +1,12 @@
 //! `roseyard`: one real ingress.
 #![forbid(unsafe_code)]
 
+use clap::Parser;
+use roseyard_ingress::program::cli::{main as obey, Cli};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match roseyard_ingress::program::run() {
+    match obey(Cli::parse()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("roseyard: error: {e}");
--- /dev/null
+++ b/ingress/src/program/cli.rs
@@ -0,0 +1,146 @@
+//! The command line.
+
+use super::config::Config;
+use clap::{Parser, Subcommand, ValueEnum};
+use roseyard_operator::log::{self, Form};
+use roseyard_operator::{Effective, File, Machine, Row};
+use std::path::{Path, PathBuf};
+
+/// Shared quotas, routing and repeated attempts for services sold by plan.
+#[derive(Debug, Parser)]
+#[command(name = "roseyard", version, disable_help_subcommand = true)]
+pub struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
+    #[command(flatten)]
+    run: Run,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run an ingress (what is done without a subcommand too).
+    Run(Run),
+    /// Check an operator's file; says every mistake with its place.
+    Check {
+        /// The file.
+        file: PathBuf,
+        #[command(flatten)]
+        machine: MachineArgs,
+    },
+    /// Show every setting as it would hold, and where it comes from.
+    Explain {
+        /// The file; without one, the defaults.
+        file: Option<PathBuf>,
+        #[command(flatten)]
+        machine: MachineArgs,
+    },
+}
+
+/// How an ingress is run.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Run {
+    /// The operator's file (KDL); without one, defaults hold. Read again on SIGHUP.
+    #[arg(long, value_name = "FILE", env = "ROSEYARD_SETTINGS")]
+    settings: Option<PathBuf>,
+    /// The form of log lines; goes before the file's.
+    #[arg(long, value_enum)]
+    log: Option<LogForm>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, ValueEnum)]
+enum LogForm {
+    Text,
+    Json,
+}
+
+#[derive(Clone, Debug, clap::Args)]
+struct MachineArgs {
+    /// Descriptors that the platform gives; by default those of the configuration that LB_CONFIG names, or
+    /// 1024.
+    #[arg(long, value_name = "N")]
+    sockets: Option<usize>,
+}
+
+impl MachineArgs {
+    fn machine(&self) -> Machine {
+        let told = || Config::read().ok().map(|config| config.limits.sockets);
+        Machine { sockets: self.sockets.or_else(told).unwrap_or(1024), allowed: crate::transport::allowed() }
+    }
+}
+
+impl Run {
+    /// Reads the operator's file, if there is one.
+    pub fn file(&self) -> Result<File, String> {
+        self.settings.as_deref().map_or_else(|| Ok(File::none()), File::read)
+    }
+
+    /// Sets up the log for these settings.
+    pub fn start_log(&self, settings: &Effective) {
+        let json = self.log.map_or(settings.log_json, |form| form == LogForm::Json);
+        log::init(if json { Form::Json } else { Form::Text }, settings.log_lines);
+    }
+}
+
+/// Does what the command line says.
+pub fn main(cli: Cli) -> Result<(), String> {
+    match cli.command {
+        None => super::run(&cli.run),
+        Some(Command::Run(run)) => super::run(&run),
+        Some(Command::Check { file, machine }) => {
+            let rows = checked(Some(&file), &machine.machine())?;
+            println!("{}: in order, {} settings hold", file.display(), rows.len());
+            Ok(())
+        }
+        Some(Command::Explain { file, machine }) => {
+            let machine = machine.machine();
+            print!("{}", table(&checked(file.as_deref(), &machine)?));
+            println!(
+                "sockets of the platform {}, allowed by the system {}",
+                machine.sockets, machine.allowed
+            );
+            Ok(())
+        }
+    }
+}
+
+/// The settings of a file, or its mistakes drawn with their lines.
+fn checked(path: Option<&Path>, machine: &Machine) -> Result<Vec<Row>, String> {
+    let Some(path) = path else { return File::none().explain(machine).map_err(|e| e.report()) };
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
+    let rows = File::parse(&name, &text).and_then(|file| file.explain(machine));
+    rows.map_err(|wrong| format!("{name}: {} mistakes\n{}", wrong.iter().count(), wrong.report()))
+}
+
+fn table(rows: &[Row]) -> String {
+    let wide = |of: fn(&Row) -> &str| rows.iter().map(|r| of(r).chars().count()).max().unwrap_or(0);
+    let (names, values, sources) = (wide(|r| &r.name), wide(|r| &r.value), wide(|r| &r.source));
+    let line = |r: &Row| {
+        format!(
+            "{:names$}  {:values$}  {:sources$}  {} ({})\n",
+            r.name, r.value, r.source, r.about, r.allowed
+        )
+    };
+    rows.iter().map(line).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_deploy_line_without_a_subcommand_runs_and_a_wrong_word_is_told() {
+        use clap::CommandFactory;
+        Cli::command().debug_assert();
+        let parse = |words: &[&str]| Cli::try_parse_from([&["roseyard"], words].concat());
+        assert!(parse(&[]).unwrap().command.is_none());
+        let Some(Command::Run(run)) =
+            parse(&["run", "--settings", "a.kdl", "--log", "json"]).unwrap().command
+        else {
+            panic!("not run")
+        };
+        assert_eq!((run.settings.as_deref(), run.log), (Some(Path::new("a.kdl")), Some(LogForm::Json)));
+        assert!(parse(&["--log", "xml"]).unwrap_err().to_string().contains("text"));
+        assert!(parse(&["chek", "a"]).unwrap_err().to_string().contains("check"));
+    }
+}
--- a/ingress/src/program/mod.rs
+++ b/ingress/src/program/mod.rs
@@ -1,15 +1,19 @@
 //! Configuration, start, signals, log and the loop.
 
+pub mod cli;
 pub mod config;
-pub mod log;
+mod standing;
 
 use crate::clock::Clock;
 use crate::limits::Limits;
 use crate::routing::front::Terms;
 use crate::routing::{Answer, Core, Front, Io, Party, Start};
-use crate::transport::{listen, Deadlines, Key, Poller, Ready};
+use crate::transport::{allowed, listen, Deadlines, Key, Poller, Ready};
+use cli::Run;
 use config::Config;
-use log::Log;
+use roseyard_admission::Budget;
+use roseyard_operator::{Effective, File, Machine};
+use standing::Keeper;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
@@ -51,6 +55,12 @@
     /// When `PING` is answered at the latest, and when the drain's next step is due.
     ready_due: Option<Duration>,
     drain_due: Option<Duration>,
+    /// The machine as it was at the start.
+    machine: Machine,
+    keeper: Keeper,
+    standing_due: Option<Duration>,
+    /// How the program was started; its file is read again on SIGHUP.
+    run: Option<Run>,
     /// Room for a round's news, kept from round to round.
     ready: Vec<Ready>,
     answers: Vec<((Key, u64), Answer)>,
@@ -69,35 +79,51 @@
 }
 
 /// Runs an ingress until SIGTERM or SIGINT has been served.
-pub fn run() -> Result<(), String> {
+pub fn run(run: &Run) -> Result<(), String> {
     let signals = Signals::watch().map_err(|e| format!("signals: {e}"))?;
     let clock = Clock::start();
     let config = Config::read()?;
-    let mut program = Program::start(&config, clock)?;
-    program.heed(signals)?;
+    let file = run.file()?;
+    let machine = machine(&config);
+    run.start_log(&file.effective(&machine).map_err(|e| e.to_string())?);
+    let mut program = Program::start(&config, &file, clock)?;
+    program.heed(signals, run.clone())?;
     loop {
         let wait = program.next_due().map(|at| at.saturating_sub(clock.now()));
         if !program.round(wait, || clock.now())? {
             let left = program.core.open_requests();
-            program.io.log.info(clock.now(), format_args!("stopped, {left} requests open"));
+            program.end();
+            tracing::info!(event = "stopped", left, "stopped, {left} requests open");
             return Ok(());
         }
     }
 }
 
+fn machine(config: &Config) -> Machine {
+    Machine { sockets: config.limits.sockets, allowed: allowed() }
+}
+
 impl Program {
     /// Listens, and opens the watch on discovery.
-    pub fn start(config: &Config, clock: Clock) -> Result<Program, String> {
+    pub fn start(config: &Config, file: &File, clock: Clock) -> Result<Program, String> {
+        let machine = machine(config);
+        let operator = file.effective(&machine).map_err(|e| e.to_string())?;
         let options = &config.settings;
-        let limits = Limits::new(config.limits.sockets, config.limits.memory_mb, options);
+        let limits = Limits::new(&operator, config.limits.memory_mb, options);
         let poller = Poller::new(limits.batch).map_err(|e| format!("epoll: {e}"))?;
-        let log = Log::new(limits.log_lines);
-        let mut io = Io { poller, deadlines: Deadlines::default(), now: clock.now(), log, limits };
+        let budget =
+            Budget::new(operator.sockets, operator.shares).map_err(|e| format!("descriptors: {e}"))?;
+        let mut io = Io { poller, deadlines: Deadlines::default(), now: clock.now(), budget, limits };
         let listener = listen(&config.listen, limits.backlog)
             .map_err(|e| format!("listen on {}: {e}", config.listen))?;
         let settings = options.settings()?;
         let terms = Terms::new(options, &settings, &limits);
-        let front = Front::new(listener, terms, &io).map_err(|e| format!("listen: {e}"))?;
+        let Effective { policy, standing, .. } = operator;
+        // What others choose must not collide in tables: mixed so that the module's numbers tell nothing of it.
+        let secret = config.seed.rotate_left(23) ^ 0x61c8_8646_80b5_83eb;
+        let mut front =
+            Front::new(listener, terms, policy, secret, &mut io).map_err(|e| format!("listen: {e}"))?;
+        let keeper = Keeper::start(standing, front.gate_mut(), io.now);
         let start = Start {
             settings,
             seed: config.seed,
@@ -107,13 +133,21 @@
             counter: config.counter,
         };
         if let Some(at) = front.address() {
-            io.log.info(io.now, format_args!("{}: listening on {at}", config.name));
+            let name = &config.name;
+            tracing::info!(event = "listening", name, %at, "{name}: listening on {at}");
         }
         let core = Core::new(start, &config.known, &mut io).map_err(|e| format!("settings: {e}"))?;
         let mut ready_due = None;
         let at = io.now + io.limits.ready;
         io.deadlines.set(&mut ready_due, Some(at), Party::Ready);
+        let mut standing_due = None;
+        let at = keeper.every().map(|every| io.now + every);
+        io.deadlines.set(&mut standing_due, at, Party::Standing);
         Ok(Program {
+            machine,
+            keeper,
+            standing_due,
+            run: None,
             io,
             core,
             front,
@@ -126,27 +160,49 @@
         })
     }
 
-    /// From now on SIGHUP rereads the configuration, and SIGTERM and SIGINT begin the drain.
-    pub fn heed(&mut self, signals: Signals) -> Result<(), String> {
+    /// From now on SIGHUP rereads the configuration and the operator's file, and SIGTERM and SIGINT begin the
+    /// drain.
+    pub fn heed(&mut self, signals: Signals, run: Run) -> Result<(), String> {
+        self.run = Some(run);
         let token = Party::Signal.token();
         self.io.poller.add_level(&signals.pipe, token).map_err(|e| format!("signals: {e}"))?;
         self.signals = Some(signals);
         Ok(())
     }
 
-    /// The configuration was read again: discovery and counter move to its addresses at once, all else stays
-    /// as it was started. One that cannot be read changes nothing.
-    pub fn reload(&mut self, read: Result<Config, String>) {
+    /// Configuration and operator's file were read again: discovery and counter move to their addresses at once,
+    /// admission goes by the file, all else stays as it was started. If either cannot be read or does not fit,
+    /// neither changes anything.
+    pub fn reload(&mut self, read: Result<(Config, File), String>) {
+        let fits = |(config, file): (Config, File)| {
+            let operator = file.effective(&self.machine).map_err(|e| e.to_string())?;
+            Ok::<_, String>((config, operator))
+        };
         let io = &mut self.io;
-        match read {
-            Ok(config) => {
+        match read.and_then(fits) {
+            Ok((config, operator)) => {
+                // The shares fit: they were held against the total just now.
+                if let Err(e) = io.budget.set(operator.sockets, operator.shares) {
+                    tracing::warn!(event = "reload.descriptors", "reload: {e}");
+                }
+                self.front.set_policy(operator.policy, io);
+                self.keeper.set(operator.standing);
+                let at = self.keeper.every().map(|every| io.now + every);
+                io.deadlines.set(&mut self.standing_due, at, Party::Standing);
                 let counter = config.counter.map_or_else(|| "none".to_owned(), |c| c.to_string());
                 let discovery = config.discovery;
-                io.log.info(io.now, format_args!("reload: discovery at {discovery}, counter at {counter}"));
+                tracing::info!(
+                    event = "reload", %discovery, counter,
+                    "reload: discovery at {discovery}, counter at {counter}"
+                );
                 self.core.move_to(discovery, config.counter, io);
             }
             Err(wrong) => {
-                io.log.warn(io.now, format_args!("reload: {wrong}; the settings held stay in force"));
+                tracing::warn!(
+                    event = "reload.wrong",
+                    wrong,
+                    "reload: {wrong}; the settings held stay in force"
+                );
             }
         }
     }
@@ -195,7 +251,7 @@
         if !self.front.ready && (self.core.told() || self.ready_due.is_none()) {
             self.front.ready = true;
             self.io.deadlines.set(&mut self.ready_due, None, Party::Ready);
-            self.io.log.info(self.io.now, format_args!("ready"));
+            tracing::info!(event = "ready", "ready");
         }
         loop {
             self.core.run(&mut self.io);
@@ -218,7 +274,8 @@
         if self.phase == Phase::Serving {
             self.phase = Phase::Leaving;
             let io = &mut self.io;
-            io.log.info(io.now, format_args!("leaving: {} requests open", self.core.open_requests()));
+            let open = self.core.open_requests();
+            tracing::info!(event = "leaving", open, "leaving: {open} requests open");
             io.deadlines.set(&mut self.drain_due, Some(io.now + io.limits.drain_accept), Party::Drain);
         }
     }
@@ -229,7 +286,8 @@
         if self.phase == Phase::Leaving {
             self.phase = Phase::Draining;
             self.front.drain(core, io);
-            io.log.info(io.now, format_args!("draining: no longer accepting, {} clients", self.front.len()));
+            let clients = self.front.len();
+            tracing::info!(event = "draining", clients, "draining: no longer accepting, {clients} clients");
             io.deadlines.set(&mut self.drain_due, Some(io.now + io.limits.drain), Party::Drain);
         } else {
             self.phase = Phase::Over;
@@ -257,12 +315,27 @@
             Party::Counter(n, _) => core.on_counter_due(n, io),
             Party::Watch(_) => core.on_watch_due(io),
             Party::Listener => self.front.on_listener_due(core, io),
+            Party::Report => self.front.on_report_due(),
+            Party::Standing => self.on_standing_due(),
             Party::Ready => self.ready_due = None,
             Party::Drain => self.on_drain_due(),
             Party::Signal => {}
         }
     }
 
+    fn on_standing_due(&mut self) {
+        self.standing_due = None;
+        let io = &mut self.io;
+        self.keeper.write(self.front.gate(), io.now);
+        let at = self.keeper.every().map(|every| io.now + every);
+        io.deadlines.set(&mut self.standing_due, at, Party::Standing);
+    }
+
+    /// All is done: what is known of clients is kept for the next start.
+    pub fn end(&mut self) {
+        self.keeper.finish(self.front.gate(), self.io.now);
+    }
+
     fn on_signal(&mut self) {
         let mut bytes = [0; 16];
         let Some(signals) = &mut self.signals else { return };
@@ -271,7 +344,8 @@
         let leave = signals.leave.swap(false, Ordering::SeqCst);
         // Also while it leaves: what it still holds is counted and sent on by the new addresses.
         if reload {
-            self.reload(Config::reread());
+            let file = self.run.as_ref().map_or_else(|| Ok(File::none()), Run::file);
+            self.reload(Config::reread().and_then(|config| Ok((config, file?))));
         }
         if leave {
             self.leave();
--- a/ingress/src/routing/attempts.rs
+++ b/ingress/src/routing/attempts.rs
@@ -7,6 +7,7 @@
 use crate::protocol::resp::{self, Value};
 use crate::transport::{connect, is_fd_shortage, Fill, Key, Ready, Stream};
 use roseyard::*;
+use roseyard_admission::Use;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -139,16 +140,19 @@
         if let Some(key) = self.rested(server, io) {
             return self.write(key, job, io);
         }
-        if self.links.len() >= io.limits.links && !self.evict_idle(io) {
+        if !(io.budget.take(Use::Links) || self.evict_idle(io) && io.budget.take(Use::Links)) {
             return self.ended(job, server, Outcome::ConnectFailed, None, io.now);
         }
-        let Some(address) = self.fleet.get(server).map(|s| s.address) else { return };
+        let Some(address) = self.fleet.get(server).map(|s| s.address) else {
+            return io.budget.give(Use::Links);
+        };
         let mut opened = connect(&address, io.limits.chunk_bytes);
         // Guards against running out of descriptors: an idle connection elsewhere makes room.
         if matches!(&opened, Err(e) if is_fd_shortage(*e)) && self.evict_idle(io) {
             opened = connect(&address, io.limits.chunk_bytes);
         }
         let Ok(stream) = opened else {
+            io.budget.give(Use::Links);
             return self.ended(job, server, Outcome::ConnectFailed, None, io.now);
         };
         let state = State::Connecting(job);
@@ -184,8 +188,7 @@
 
     /// Closes the idle connection that was used longest ago.
     pub(super) fn evict_idle(&mut self, io: &mut Io) -> bool {
-        let idle = self.links.iter().filter(|(_, l)| matches!(l.state, State::Idle));
-        let Some((key, _)) = idle.min_by_key(|(_, l)| l.used) else { return false };
+        let Some((_, key)) = self.idle.first().copied() else { return false };
         self.close_link(key, io);
         true
     }
@@ -201,6 +204,7 @@
     /// Writes a job on a connection that is up and free.
     fn write(&mut self, key: Key, job: Job, io: &mut Io) {
         let Some(link) = self.links.get_mut(key) else { return };
+        self.idle.remove(&(link.used, key));
         link.state = State::Busy(job);
         link.used = io.now;
         io.deadlines.set(&mut link.due, Some(job.give_up), Party::Link(key));
@@ -238,6 +242,8 @@
 
     pub(super) fn close_link(&mut self, key: Key, io: &mut Io) {
         let Some(mut link) = self.links.remove(key) else { return };
+        io.budget.give(Use::Links);
+        self.idle.remove(&(link.used, key));
         io.deadlines.set(&mut link.due, None, Party::Link(key));
         if let Some(server) = self.fleet.get_mut(link.server) {
             server.idle.retain(|k| *k != key);
@@ -333,7 +339,13 @@
             Ok(Some(found)) => found,
             Err(wrong) => {
                 let server = link.server.0;
-                io.log.warn(io.now, format_args!("server {server}: malformed answer: {}", wrong.0));
+                let why = wrong.0;
+                tracing::warn!(
+                    event = "server.malformed",
+                    server,
+                    why,
+                    "server {server}: malformed answer: {why}"
+                );
                 return self.break_link(key, Outcome::Error, io);
             }
         };
@@ -342,13 +354,19 @@
             Task::Probe => Meaning::of_probe(&value),
         };
         if spoilt && !matches!(value, Value::Error(_)) {
-            io.log.warn(io.now, format_args!("server {}: no answer to what was asked", link.server.0));
+            let server = link.server.0;
+            tracing::warn!(
+                event = "server.no-answer",
+                server,
+                "server {server}: no answer to what was asked"
+            );
         }
         if let Value::Error(text) = value {
             let probe = job.task == Task::Probe;
             if !probe && !text.starts_with(b"BUSY") && !text.starts_with(b"ERR failed") {
                 let text = text[..text.len().min(80)].escape_ascii();
-                io.log.warn(io.now, format_args!("server {}: answered -{text}", link.server.0));
+                let server = link.server.0;
+                tracing::warn!(event = "server.error", server, %text, "server {server}: answered -{text}");
             }
         }
         link.stream.take(used);
@@ -376,6 +394,7 @@
         link.stream.trim(8 * io.limits.chunk_bytes);
         io.deadlines.set(&mut link.due, Some(io.now + io.limits.link_idle), Party::Link(key));
         server.idle.push(key);
+        self.idle.insert((io.now, key));
     }
 
     /// A connection's deadline has come: not up, no answer, or idle for long.
@@ -389,7 +408,13 @@
             // We end it before its last byte: it never runs.
             State::Busy(_) if unwritten > 0 => self.break_link(key, Outcome::ConnectFailed, io),
             State::Busy(job) if io.now < job.give_up => {
-                io.log.warn(io.now, format_args!("server {}: malformed answer: no end", server.0));
+                let server = server.0;
+                tracing::warn!(
+                    event = "server.malformed",
+                    server,
+                    why = "no end",
+                    "server {server}: malformed answer: no end"
+                );
                 self.break_link(key, Outcome::Error, io);
             }
             State::Busy(job) => {
--- a/ingress/src/routing/core.rs
+++ b/ingress/src/routing/core.rs
@@ -10,7 +10,7 @@
 use crate::protocol::list::List;
 use crate::transport::{Key, Slots};
 use roseyard::*;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -84,6 +84,8 @@
     zones: Vec<String>,
     pub(super) clock: Clock,
     timer: Option<Duration>,
+    /// Idle connections to servers by the time of their last use: what goes first is found without a scan.
+    pub(super) idle: BTreeSet<(Duration, Key)>,
 }
 
 impl Core {
@@ -117,6 +119,7 @@
             zones: start.zones,
             clock: start.clock,
             timer: None,
+            idle: BTreeSet::new(),
         };
         core.take_list(known, io);
         core.watch_open(io);
@@ -132,9 +135,9 @@
         match (&mut self.counter, counter) {
             (Some(held), Some(address)) => held.move_to(address, io, &mut self.events),
             (None, None) => {}
-            _ => io.log.warn(
-                io.now,
-                format_args!("reload: a counter that comes or goes takes effect at the next start"),
+            _ => tracing::warn!(
+                event = "reload.counter",
+                "reload: a counter that comes or goes takes effect at the next start"
             ),
         }
     }
@@ -216,13 +219,16 @@
             self.close_link(key, io);
         }
         if change.bad > 0 {
-            io.log.warn(
-                io.now,
-                format_args!("discovery: {} entries of rev {} unreadable", change.bad, list.rev),
+            let (bad, rev) = (change.bad, list.rev);
+            tracing::warn!(
+                event = "discovery.entries",
+                bad,
+                rev,
+                "discovery: {bad} entries of rev {rev} unreadable"
             );
         }
-        io.log
-            .info(io.now, format_args!("discovery: rev {}, {} servers ready", list.rev, self.fleet.ready()));
+        let (rev, ready) = (list.rev, self.fleet.ready());
+        tracing::info!(event = "discovery.list", rev, ready, "discovery: rev {rev}, {ready} servers ready");
         self.events.push_back(Event::Servers(change.update));
     }
 
@@ -271,7 +277,7 @@
             Action::Probe { server } => self.probe(server, io),
             // The watch is always open or being opened.
             Action::Subscribe | Action::FetchList => {}
-            Action::Log(text) => io.log.info(io.now, format_args!("module: {text}")),
+            Action::Log(text) => tracing::info!(event = "module", "module: {text}"),
         }
     }
 
--- a/ingress/src/routing/discovery.rs
+++ b/ingress/src/routing/discovery.rs
@@ -132,11 +132,13 @@
                     self.watch.told = true;
                     self.take_list(&list, io);
                 }
-                Err(e) => io.log.warn(io.now, format_args!("discovery: unreadable line: {e}")),
+                Err(e) => {
+                    tracing::warn!(event = "discovery.line", why = %e, "discovery: unreadable line: {e}")
+                }
             }
         }
         if let Err(why) = state {
-            io.log.warn(io.now, format_args!("discovery: {why}; calling again"));
+            tracing::warn!(event = "discovery.broke", why, "discovery: {why}; calling again");
             self.watch.stream = None;
             io.deadlines.set(&mut self.watch.due, Some(io.now + io.limits.list_again), Party::Watch(0));
         }
@@ -146,8 +148,12 @@
     pub fn on_watch_due(&mut self, io: &mut Io) {
         self.watch.due = None;
         if self.watch.stream.take().is_some() {
-            io.log
-                .warn(io.now, format_args!("discovery: silent; calling again after rev {}", self.fleet.rev));
+            let rev = self.fleet.rev;
+            tracing::warn!(
+                event = "discovery.silent",
+                rev,
+                "discovery: silent; calling again after rev {rev}"
+            );
         }
         self.watch_open(io);
     }
--- /dev/null
+++ b/ingress/src/routing/doors.rs
@@ -0,0 +1,174 @@
+//! The listener and what admission decides of it: carried out here, decided in [`roseyard_admission`].
+
+use super::{Io, Party};
+use crate::transport::{accept, is_fd_shortage, listening_at, spare, Key, Stream};
+use roseyard_admission::{Action, Conn, Event, Gate, Policy, Use, Why, REASONS};
+use rustix::fd::OwnedFd;
+use rustix::io::Errno;
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+/// The name of a client's connection to admission.
+pub(super) fn conn(key: Key) -> Conn {
+    Conn(key.pack())
+}
+
+/// What the listener gave.
+pub(super) enum Came {
+    Connection(Stream, IpAddr),
+    /// Nothing waits, or nothing is to be accepted now.
+    Nothing,
+    /// No descriptor is left.
+    Shortage,
+    /// Only this one has failed.
+    Next,
+}
+
+/// The listener, admission, and the descriptor that is kept for want of others.
+pub(super) struct Doors {
+    listener: Option<OwnedFd>,
+    pub gate: Gate,
+    /// The listener is not watched until this time.
+    paused: Option<Duration>,
+    spare: Option<OwnedFd>,
+    /// Room for what is to be done, kept from event to event.
+    actions: Vec<Action>,
+    /// What was told last of [`Gate::counts`], and when that is told again.
+    told: ([u64; REASONS.len()], u64),
+    report: Option<Duration>,
+}
+
+impl Doors {
+    pub fn new(listener: OwnedFd, policy: Policy, secret: u64, io: &mut Io) -> rustix::io::Result<Doors> {
+        io.poller.add_level(&listener, Party::Listener.token())?;
+        // Their number is fixed by their tables: taken for the whole of the process's life.
+        for of in [Use::Fixed, Use::Counter, Use::Discovery, Use::Files, Use::Spare] {
+            while io.budget.used(of) < io.budget.share(of).least && io.budget.take(of) {}
+        }
+        Ok(Doors {
+            listener: Some(listener),
+            gate: Gate::new(policy, secret, io.now),
+            paused: None,
+            spare: spare(),
+            actions: Vec::new(),
+            told: Default::default(),
+            report: None,
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> Option<SocketAddr> {
+        listening_at(self.listener.as_ref()?)
+    }
+
+    /// Tells admission; what is to be done goes to `act`.
+    pub fn tell(&mut self, event: Event, io: &mut Io, mut act: impl FnMut(Action, &mut Io)) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.gate.handle(io.now, event, &mut actions);
+        self.note(&actions, io);
+        actions.drain(..).for_each(|action| act(action, io));
+        self.actions = actions;
+    }
+
+    /// Other settings hold from now on.
+    pub fn set_policy(&mut self, policy: Policy, io: &mut Io) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.gate.set_policy(policy, io.now, &mut actions);
+        self.note(&actions, io);
+        actions
+    }
+
+    /// Sees to it that what was done is told before long.
+    fn note(&mut self, actions: &[Action], io: &mut Io) {
+        if !actions.is_empty() && self.report.is_none() {
+            let at = io.now + io.limits.report;
+            io.deadlines.set(&mut self.report, Some(at), Party::Report);
+        }
+    }
+
+    /// Takes the next connection that waits, unless nothing is to be accepted just now.
+    pub fn next(&mut self, io: &mut Io) -> Came {
+        if let Some(until) = self.gate.pause(io.now) {
+            self.pause(until, io);
+            return Came::Nothing;
+        }
+        let Some(listener) = &self.listener else { return Came::Nothing };
+        match accept(listener, io.limits.chunk_bytes) {
+            Ok((stream, peer)) => Came::Connection(stream, peer),
+            Err(Errno::AGAIN) => Came::Nothing,
+            Err(Errno::INTR | Errno::CONNABORTED) => Came::Next,
+            Err(e) if is_fd_shortage(e) => Came::Shortage,
+            Err(e) => {
+                tracing::warn!(event = "clients.accept", why = %e, "clients: accept: {e}");
+                self.pause(io.now + io.limits.accept_again, io);
+                Came::Nothing
+            }
+        }
+    }
+
+    /// No descriptor is left and none can be had: the spare one serves to tell one that waits when to come
+    /// again. Guards against a loop that spins on a listener it has no descriptor to serve.
+    pub fn turn_away_one(&mut self, io: &mut Io) {
+        self.spare = None;
+        if let Some(Ok((stream, _))) = self.listener.as_ref().map(|l| accept(l, io.limits.chunk_bytes)) {
+            turn_away(stream, self.gate.policy().advice);
+        }
+        self.spare = spare();
+        tracing::warn!(event = "clients.descriptors", "clients: no descriptor left; accepting later");
+        self.pause(io.now + io.limits.accept_again, io);
+    }
+
+    /// Accepts nothing until then.
+    pub fn pause(&mut self, until: Duration, io: &mut Io) {
+        if let Some(listener) = self.listener.as_ref().filter(|_| self.paused.is_none()) {
+            let _ = io.poller.remove(listener);
+            io.deadlines.set(&mut self.paused, Some(until), Party::Listener);
+        }
+    }
+
+    /// The pause is over.
+    pub fn go_on(&mut self, io: &mut Io) {
+        self.paused = None;
+        if let Some(listener) = &self.listener {
+            let _ = io.poller.add_level(listener, Party::Listener.token());
+        }
+    }
+
+    /// Nothing is accepted any more.
+    pub fn shut(&mut self, io: &mut Io) {
+        io.deadlines.set(&mut self.paused, None, Party::Listener);
+        self.listener = None;
+    }
+
+    /// It is time to tell what was done, each limit for itself.
+    pub fn on_report_due(&mut self) {
+        self.report = None;
+        let (counts, refused) = (self.gate.counts(), self.gate.refused());
+        let (before, refused_before) = std::mem::replace(&mut self.told, (counts, refused));
+        let since = |why: Why| counts[why as usize] - before[why as usize];
+        let told = REASONS.iter().filter(|why| since(**why) > 0);
+        let mut words: Vec<String> = told.map(|why| format!("{} {}", why.word(), since(*why))).collect();
+        if refused > refused_before {
+            words.push(format!("refused {}", refused - refused_before));
+        }
+        let (held, words) = (self.gate.held(), words.join(", "));
+        tracing::info!(event = "admission", held, %words, "admission: {held} clients held; since the last line: {words}");
+    }
+}
+
+/// Tells one that is not taken when to come again, and closes it.
+pub(super) fn turn_away(mut stream: Stream, after: Duration) {
+    stream.output().extend_from_slice(&busy(Some(after)));
+    // Closing with input unread would send a reset, which destroys the answer on its way.
+    let _ = stream.flush();
+    let _ = stream.end_sending();
+    let _ = stream.discard(1 << 16, &mut [0; 512]);
+}
+
+/// The answer that refuses, with word of when to come again.
+pub(super) fn busy(after: Option<Duration>) -> Vec<u8> {
+    match after {
+        Some(after) => format!("-BUSY {}\r\n", after.as_millis().max(1)).into_bytes(),
+        None => b"-BUSY\r\n".to_vec(),
+    }
+}
--- a/ingress/src/routing/front.rs
+++ b/ingress/src/routing/front.rs
@@ -1,17 +1,18 @@
 //! The platform's front: clients' connections, their commands in order, their answers in the same order.
 
 use super::core::{Answer, Ask, Core};
+use super::doors::{busy, conn, turn_away, Came, Doors};
 use super::{Io, Party};
 use crate::limits::Limits;
 use crate::protocol::command::{self, Held};
 use crate::protocol::resp;
-use crate::transport::{accept, is_fd_shortage, listening_at, Fill, Key, Ready, Slots, Stream};
+use crate::transport::{Fill, Key, Ready, Slots, Stream};
 use roseyard::{Class, CustomerId, Effect, Settings};
+use roseyard_admission::{Action, Event, Gate, Policy, Standing, Use};
 use roseyard_settings::Options;
 use rustix::fd::OwnedFd;
-use rustix::io::Errno;
 use std::collections::{HashSet, VecDeque};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 /// The answer to one command.
@@ -40,8 +41,6 @@
     /// Bytes of the answers that wait behind others.
     waiting: usize,
     phase: Phase,
-    /// Commands that could be read; from the second on it is one that comes again.
-    asked: u32,
     /// An end was told of: only then is there more to see behind a short read.
     hup: bool,
     /// Reading stopped short until answers have gone out.
@@ -70,7 +69,6 @@
             first: 0,
             waiting: 0,
             phase: Phase::Open,
-            asked: 0,
             hup: false,
             blocked: false,
             queued: false,
@@ -123,14 +121,13 @@
     }
 
     /// The next time at which it must have moved on.
-    fn next_due(&self, limits: &Limits) -> Option<Duration> {
+    fn next_due(&self, patience: Duration, limits: &Limits) -> Option<Duration> {
         if self.phase == Phase::Lingering {
             return Some(self.linger);
         }
         let stall = self.stall.map(|(at, _)| at);
         let part = self.begun.map(|at| at + limits.command_part);
-        let idle = if self.asked > 1 { limits.client_idle } else { limits.client_silent };
-        let idle = Some(self.used + idle).filter(|_| self.free() && self.begun.is_none());
+        let idle = Some(self.used + patience).filter(|_| self.free() && self.begun.is_none());
         [stall, part, idle].into_iter().flatten().min()
     }
 }
@@ -176,7 +173,7 @@
 
 /// All clients.
 pub struct Front {
-    listener: Option<OwnedFd>,
+    doors: Doors,
     clients: Slots<Client>,
     terms: Terms,
     /// Numbers of the requests that are open, as their clients gave them.
@@ -186,8 +183,6 @@
     dirty: Vec<Key>,
     /// Clients that go on in the next round.
     again: Vec<Key>,
-    /// The listener is not watched until this time.
-    paused: Option<Duration>,
     /// Connections end once they are between requests.
     draining: bool,
     /// Stands for what is thrown away; never written to.
@@ -206,6 +201,15 @@
     Quit,
 }
 
+/// Takes a connection out of the tables; its socket closes with what is handed back.
+fn close(key: Key, clients: &mut Slots<Client>, held: &mut usize, io: &mut Io) -> Option<Client> {
+    let mut client = clients.remove(key)?;
+    io.deadlines.set(&mut client.due, None, Party::Client(key));
+    io.budget.give(Use::Clients);
+    *held -= client.held;
+    Some(client)
+}
+
 fn answer_bytes(answer: Answer) -> Vec<u8> {
     match answer {
         Answer::Served(value) => {
@@ -213,25 +217,28 @@
             resp::put_bulk(&mut out, &value);
             out
         }
-        Answer::Refused(None) => b"-BUSY\r\n".to_vec(),
-        Answer::Refused(Some(after)) => format!("-BUSY {}\r\n", after.as_millis().max(1)).into_bytes(),
+        Answer::Refused(after) => busy(after),
         Answer::Failed => b"-ERR failed\r\n".to_vec(),
     }
 }
 
 impl Front {
-    /// Listens for clients.
-    pub fn new(listener: OwnedFd, terms: Terms, io: &Io) -> rustix::io::Result<Front> {
-        io.poller.add_level(&listener, Party::Listener.token())?;
+    /// Listens for clients; `secret` keeps others from choosing addresses that collide in tables.
+    pub fn new(
+        listener: OwnedFd,
+        terms: Terms,
+        policy: Policy,
+        secret: u64,
+        io: &mut Io,
+    ) -> rustix::io::Result<Front> {
         Ok(Front {
-            listener: Some(listener),
+            doors: Doors::new(listener, policy, secret, io)?,
             clients: Slots::default(),
             terms,
             open: HashSet::new(),
             held: 0,
             dirty: Vec::new(),
             again: Vec::new(),
-            paused: None,
             draining: false,
             scratch: vec![0; io.limits.round_discard],
             ready: false,
@@ -240,7 +247,7 @@
 
     /// Where it listens.
     pub fn address(&self) -> Option<SocketAddr> {
-        listening_at(self.listener.as_ref()?)
+        self.doors.address()
     }
 
     /// Clients connected.
@@ -265,85 +272,111 @@
 
     /// Connections wait at the listener.
     pub fn accept(&mut self, most: usize, core: &mut Core, io: &mut Io) {
-        // Guards against closing one that was just taken in, before it is read, for a next one: without
-        // descriptors left the system tells of the want even if nobody waits.
-        let mut taken = Vec::new();
         for _ in 0..most {
-            if self.clients.len() > io.limits.clients && !self.evict(&taken, io) {
-                return self.pause(io);
-            }
-            let Some(listener) = &self.listener else { return };
-            match accept(listener, io.limits.chunk_bytes) {
-                Ok(stream) => {
-                    let key = self.clients.insert_with(|_| Client::new(stream, io.now));
-                    let client = self.clients.get(key);
-                    let token = Party::Client(key).token();
-                    if client.is_some_and(|c| io.poller.add(c.stream.fd(), token).is_err()) {
-                        self.clients.remove(key);
-                    }
-                    self.arm(key, io);
-                    taken.push(key);
-                    if self.clients.len() > io.limits.clients {
-                        self.evict(&taken, io);
-                    }
-                }
-                Err(Errno::AGAIN) => return,
-                Err(Errno::INTR | Errno::CONNABORTED) => {}
-                // Guards against a loop that spins on a listener it has no descriptor to serve.
-                Err(e) if is_fd_shortage(e) => {
-                    if !core.evict_idle(io) && !self.evict(&taken, io) {
-                        io.log.warn(io.now, format_args!("clients: no descriptor left; accepting later"));
-                        return self.pause(io);
+            match self.doors.next(io) {
+                Came::Connection(stream, peer) => self.take_in(stream, peer, core, io),
+                Came::Nothing => return,
+                Came::Next => {}
+                Came::Shortage => {
+                    if !core.evict_idle(io) && !self.make_room(io) {
+                        return self.doors.turn_away_one(io);
                     }
                 }
-                Err(e) => {
-                    io.log.warn(io.now, format_args!("clients: accept: {e}"));
-                    return self.pause(io);
-                }
             }
         }
     }
 
-    fn pause(&mut self, io: &mut Io) {
-        if let Some(listener) = self.listener.as_ref().filter(|_| self.paused.is_none()) {
-            let _ = io.poller.remove(listener);
-            io.deadlines.set(&mut self.paused, Some(io.now + io.limits.accept_again), Party::Listener);
+    /// A connection was accepted: it stays if admission and the descriptors allow.
+    fn take_in(&mut self, stream: Stream, peer: IpAddr, core: &mut Core, io: &mut Io) {
+        let key = self.clients.insert_with(|_| Client::new(stream, io.now));
+        let mut away = None;
+        let event = Event::Connected { conn: conn(key), peer };
+        let (doors, clients, held) = (&mut self.doors, &mut self.clients, &mut self.held);
+        doors.tell(event, io, |action, io| match action {
+            Action::Close { conn, .. } => {
+                close(Key::unpack(conn.0), clients, held, io);
+            }
+            Action::TurnAway { after, .. } => away = Some(after),
+            Action::Refuse { .. } | Action::Pause { .. } => {}
+        });
+        if let Some(after) = away {
+            if let Some(client) = self.clients.remove(key) {
+                turn_away(client.stream, after);
+            }
+            return;
+        }
+        // Servers may have borrowed the descriptor that this place stands for.
+        if !(io.budget.take(Use::Clients) || core.evict_idle(io) && io.budget.take(Use::Clients)) {
+            self.doors.tell(Event::Closed { conn: conn(key), fault: false }, io, |_, _| ());
+            if let Some(client) = self.clients.remove(key) {
+                turn_away(client.stream, self.doors.gate.policy().advice);
+            }
+            return;
+        }
+        let client = self.clients.get(key);
+        if client.is_some_and(|c| io.poller.add(c.stream.fd(), Party::Client(key).token()).is_err()) {
+            self.close(key, false, io);
         }
+        self.arm(key, io);
     }
 
-    /// The listener's pause is over.
-    pub fn on_listener_due(&mut self, core: &mut Core, io: &mut Io) {
-        self.paused = None;
-        if let Some(listener) = &self.listener {
-            let _ = io.poller.add_level(listener, Party::Listener.token());
+    /// Closes the connection between requests that is to go first; false if there is none.
+    fn make_room(&mut self, io: &mut Io) -> bool {
+        let before = self.clients.len();
+        self.tell(Event::Shortage, io);
+        self.clients.len() < before
+    }
+
+    /// Tells admission, and closes what is to be closed.
+    fn tell(&mut self, event: Event, io: &mut Io) {
+        let (doors, clients, held) = (&mut self.doors, &mut self.clients, &mut self.held);
+        doors.tell(event, io, |action, io| {
+            if let Action::Close { conn, .. } = action {
+                close(Key::unpack(conn.0), clients, held, io);
+            }
+        });
+    }
+
+    /// Admission goes by other settings from now on.
+    pub fn set_policy(&mut self, policy: Policy, io: &mut Io) {
+        for action in self.doors.set_policy(policy, io) {
+            if let Action::Close { conn, .. } = action {
+                close(Key::unpack(conn.0), &mut self.clients, &mut self.held, io);
+            }
         }
-        self.accept(io.limits.round_accepts, core, io);
     }
 
-    /// Closes the connection between requests that is missed least: guards against silent or reconnecting
-    /// clients by the hundreds, and against those that ask once and stay, which must not take the place of
-    /// those that come again.
-    fn evict(&mut self, but: &[Key], io: &mut Io) -> bool {
-        let rank = |c: &Client| match c.phase {
-            Phase::Lingering => 1,
-            _ => c.asked.min(2) + u32::from(c.asked > 0),
-        };
-        let free = self.clients.iter().filter(|(key, c)| c.free() && !but.contains(key));
-        let Some((key, _)) = free.min_by_key(|(_, c)| (rank(c), c.used)) else { return false };
-        self.close(key, io);
-        true
+    /// Admission, with what is known of clients.
+    pub fn gate(&self) -> &Gate {
+        &self.doors.gate
+    }
+
+    /// Admission, to be told what was known before the start.
+    pub fn gate_mut(&mut self) -> &mut Gate {
+        &mut self.doors.gate
+    }
+
+    /// It is time to tell what admission did.
+    pub fn on_report_due(&mut self) {
+        self.doors.on_report_due();
+    }
+
+    /// The listener's pause is over.
+    pub fn on_listener_due(&mut self, core: &mut Core, io: &mut Io) {
+        self.doors.go_on(io);
+        self.accept(io.limits.round_accepts, core, io);
     }
 
-    fn close(&mut self, key: Key, io: &mut Io) -> Option<Client> {
-        let mut client = self.clients.remove(key)?;
-        io.deadlines.set(&mut client.due, None, Party::Client(key));
-        self.held -= client.held;
+    /// Ends a connection; `fault` if that speaks against its address.
+    fn close(&mut self, key: Key, fault: bool, io: &mut Io) -> Option<Client> {
+        let client = close(key, &mut self.clients, &mut self.held, io)?;
+        self.tell(Event::Closed { conn: conn(key), fault }, io);
         Some(client)
     }
 
     /// The client is gone: what it waited for is called off.
-    fn gone(&mut self, key: Key, core: &mut Core, io: &mut Io) {
-        let Some(client) = self.close(key, io) else { return };
+    fn gone(&mut self, key: Key, fault: bool, core: &mut Core, io: &mut Io) {
+        let Some(client) = self.close(key, fault, io) else { return };
         for pending in client.pending {
             if let Pending::Waiting(request, id) = pending {
                 self.open.remove(&id);
@@ -362,18 +395,19 @@
         while self.held > io.limits.client_bytes {
             let most = self.clients.iter().max_by_key(|(_, c)| c.held).map(|(key, _)| key);
             let Some(most) = most else { return };
-            io.log.warn(
-                io.now,
-                format_args!("clients: too many bytes held; the one that holds most is dropped"),
+            tracing::warn!(
+                event = "clients.bytes",
+                "clients: too many bytes held; the one that holds most is dropped"
             );
-            self.gone(most, core, io);
+            self.gone(most, true, core, io);
         }
     }
 
     /// Sees to it that the client's next deadline is heard of; a later one waits for the one that is set.
     fn arm(&mut self, key: Key, io: &mut Io) {
         let Some(client) = self.clients.get_mut(key) else { return };
-        let Some(at) = client.next_due(&io.limits) else { return };
+        let patience = self.doors.gate.patience(conn(key));
+        let Some(at) = client.next_due(patience, &io.limits) else { return };
         if client.due.is_none_or(|due| at < due) {
             io.deadlines.set(&mut client.due, Some(at), Party::Client(key));
         }
@@ -443,7 +477,7 @@
         if matches!(filled, Fill::Ended | Fill::Broken) {
             // What it could not read is told all the same to one that has only ended its sending.
             let _ = client.stream.flush();
-            return self.gone(key, core, io);
+            return self.gone(key, part, core, io);
         }
         if self.draining && filled == Fill::Drained && !full && !part && client.phase == Phase::Open {
             client.phase = Phase::Ending;
@@ -467,7 +501,7 @@
             Fill::Limited if client.thrown < io.limits.discard => self.queue(key),
             _ => {
                 let _ = client.stream.flush();
-                return self.gone(key, core, io);
+                return self.gone(key, false, core, io);
             }
         }
         self.account(key, core, io);
@@ -477,7 +511,7 @@
     fn parse(&mut self, key: Key, core: &mut Core, io: &mut Io) -> bool {
         let Some(client) = self.clients.get_mut(key) else { return false };
         let (mut at, mut taken) = (0, 0);
-        let mut full = false;
+        let (mut full, name) = (false, conn(key));
         while client.phase == Phase::Open {
             client.blocked = client.pending.len() >= io.limits.pipelined;
             if client.blocked || taken >= io.limits.round_commands {
@@ -493,28 +527,50 @@
                 Err(wrong) => (Err(wrong), 0),
             };
             (at, taken) = (at + used, taken + 1);
-            if matches!(command, Ok(Command::Request(..) | Command::Reply(_))) {
-                client.asked = client.asked.saturating_add(1);
-            }
+            // Between requests this tells nothing to be done but whether a request is to be refused.
+            let doors = &mut self.doors;
+            let mut tell = |event, io: &mut Io| {
+                let mut refused = None;
+                doors.tell(event, io, |action, _| {
+                    if let Action::Refuse { after } = action {
+                        refused = Some(after);
+                    }
+                });
+                refused
+            };
             match command {
                 // Guards against one client that names another's open request: servers would drop one of them.
                 Ok(Command::Request(_, id)) if self.open.contains(&id) => {
+                    tell(Event::Wrong(name), io);
                     client.reply(b"-ERR request id in use\r\n");
                 }
-                Ok(Command::Request(ask, id)) => match core.submit(ask, io) {
-                    Some(request) => {
-                        self.open.insert(id);
-                        client.pending.push_back(Pending::Waiting(request, id));
+                Ok(Command::Request(ask, id)) => {
+                    let customer = ask.customer.0;
+                    let refused = tell(Event::Asked { conn: name, customer }, io);
+                    match refused.map_or_else(|| core.submit(ask, io).ok_or(io.limits.busy_again), Err) {
+                        Ok(request) => {
+                            self.open.insert(id);
+                            client.pending.push_back(Pending::Waiting(request, id));
+                        }
+                        Err(after) => client.reply(&busy(Some(after))),
                     }
-                    None => client.reply(&answer_bytes(Answer::Refused(Some(io.limits.busy_again)))),
-                },
-                Ok(Command::Reply(text)) => client.reply(text.as_bytes()),
-                Ok(Command::Wrong(what)) => client.reply(format!("-ERR {what}\r\n").as_bytes()),
+                }
+                Ok(Command::Reply(text)) => {
+                    tell(Event::Greeted(name), io);
+                    client.reply(text.as_bytes());
+                }
+                Ok(Command::Wrong(what)) => {
+                    tell(Event::Wrong(name), io);
+                    client.reply(format!("-ERR {what}\r\n").as_bytes());
+                }
                 Ok(Command::Quit) => {
                     client.reply(b"+OK\r\n");
                     client.phase = Phase::Ending;
                 }
-                Err(wrong) => client.protocol_error(wrong.0),
+                Err(wrong) => {
+                    tell(Event::Wrong(name), io);
+                    client.protocol_error(wrong.0);
+                }
             }
         }
         client.stream.take(at);
@@ -527,8 +583,10 @@
     /// Passes an answer on.
     pub fn answer(&mut self, (key, number): (Key, u64), answer: Answer, core: &mut Core, io: &mut Io) {
         let Some(client) = self.clients.get_mut(key) else { return };
+        let served = matches!(answer, Answer::Served(_));
         if let Some(id) = client.settle(number, answer_bytes(answer)) {
             self.open.remove(&id);
+            self.tell(Event::Answered { conn: conn(key), served }, io);
         }
         self.touch(key);
         self.account(key, core, io);
@@ -540,7 +598,7 @@
             let Some(client) = self.clients.get_mut(key) else { continue };
             client.dirty = false;
             let Ok(unwritten) = client.stream.flush() else {
-                self.gone(key, core, io);
+                self.gone(key, false, core, io);
                 continue;
             };
             if unwritten > 0 {
@@ -557,11 +615,20 @@
                 let wait = if self.draining { io.limits.last_linger } else { io.limits.linger };
                 client.linger = io.now + wait;
                 match client.stream.end_sending() {
-                    Ok(()) => self.queue(key),
-                    Err(_) => self.gone(key, core, io),
+                    Ok(()) => {
+                        self.queue(key);
+                        self.tell(Event::Ending(conn(key)), io);
+                    }
+                    Err(_) => self.gone(key, false, core, io),
+                }
+            } else {
+                let rests = client.free();
+                if blocked {
+                    self.queue(key);
+                }
+                if rests {
+                    self.tell(Event::Rested(conn(key)), io);
                 }
-            } else if blocked {
-                self.queue(key);
             }
             self.account(key, core, io);
             self.arm(key, io);
@@ -577,28 +644,32 @@
             true => (io.now + io.limits.client_stall, unwritten),
             false => (at, before),
         });
-        if client.next_due(&io.limits).is_none_or(|at| at > io.now) {
+        let patience = self.doors.gate.patience(conn(key));
+        if client.next_due(patience, &io.limits).is_none_or(|at| at > io.now) {
             return self.arm(key, io);
         }
         let stalled = client.stall.is_some_and(|(at, _)| at <= io.now);
+        let mut fault = stalled;
         if client.phase == Phase::Open && !stalled {
             if client.begun.take().is_some() {
                 client.protocol_error("command not finished in time");
+                self.tell(Event::Wrong(conn(key)), io);
                 return self.touch(key);
             }
             // What has just come is still read.
             if !client.stream.quiet() {
                 return self.read(key, core, io);
             }
+            fault = self.doors.gate.standing(conn(key), io.now) <= Some(Standing::Silent);
         }
-        self.gone(key, core, io);
+        self.gone(key, fault, core, io);
     }
 
     /// Takes in what still waits at the listener, then ends the connections, each after its last answer.
     pub fn drain(&mut self, core: &mut Core, io: &mut Io) {
-        self.accept(io.limits.clients, core, io);
-        io.deadlines.set(&mut self.paused, None, Party::Listener);
-        (self.listener, self.draining) = (None, true);
+        self.accept(io.limits.backlog.unsigned_abs() as usize, core, io);
+        self.doors.shut(io);
+        self.draining = true;
         let keys: Vec<Key> = self.clients.iter().map(|(key, _)| key).collect();
         for key in keys {
             if let Some(client) = self.clients.get_mut(key).filter(|c| c.phase == Phase::Lingering) {
--- a/ingress/src/routing/mod.rs
+++ b/ingress/src/routing/mod.rs
@@ -7,6 +7,7 @@
 mod core;
 mod counter;
 mod discovery;
+mod doors;
 mod fleet;
 pub mod front;
 
@@ -14,8 +15,8 @@
 pub use front::Front;
 
 use crate::limits::Limits;
-use crate::program::log::Log;
 use crate::transport::{Deadlines, Key, Poller};
+use roseyard_admission::Budget;
 use std::time::Duration;
 
 /// Whom a readiness event or a deadline is for.
@@ -23,6 +24,10 @@
 pub enum Party {
     /// The listener.
     Listener,
+    /// What admission did is told.
+    Report,
+    /// Standing is written down.
+    Standing,
     /// SIGTERM or SIGINT has come.
     Signal,
     /// The module's timer.
@@ -57,7 +62,9 @@
             Party::Counter(n, serial) => (COUNTER, u64::from(serial) << 16 | u64::from(n)),
             Party::Watch(serial) => (WATCH, u64::from(serial)),
             Party::Listener => (LISTENER, 0),
-            Party::Signal | Party::Module | Party::Ready | Party::Drain => (SIGNAL, 0),
+            Party::Signal | Party::Module | Party::Ready | Party::Drain | Party::Report | Party::Standing => {
+                (SIGNAL, 0)
+            }
         };
         kind << 56 | rest
     }
@@ -84,8 +91,8 @@
     pub deadlines: Deadlines<Party>,
     /// The time of this round.
     pub now: Duration,
-    /// The log.
-    pub log: Log,
+    /// Descriptors, by what they are for.
+    pub budget: Budget,
     /// Sizes, counts and times.
     pub limits: Limits,
 }
--- a/ingress/src/transport/mod.rs
+++ b/ingress/src/transport/mod.rs
@@ -8,4 +8,4 @@
 pub use deadlines::Deadlines;
 pub use poller::{Poller, Ready};
 pub use slots::{Key, Slots};
-pub use stream::{accept, connect, is_fd_shortage, listen, listening_at, Fill, Stream};
+pub use stream::{accept, allowed, connect, is_fd_shortage, listen, listening_at, spare, Fill, Stream};
--- a/ingress/src/transport/stream.rs
+++ b/ingress/src/transport/stream.rs
@@ -3,7 +3,7 @@
 use rustix::fd::{AsFd, BorrowedFd, OwnedFd};
 use rustix::io::{self, Errno};
 use rustix::net::{self, sockopt, AddressFamily, RecvFlags, SendFlags, Shutdown, SocketFlags, SocketType};
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 /// What came of reading.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,6 +27,18 @@
     written: usize,
 }
 
+/// A descriptor that stands for nothing: let go of when the system has none left.
+pub fn spare() -> Option<OwnedFd> {
+    use rustix::event::{eventfd, EventfdFlags};
+    eventfd(0, EventfdFlags::CLOEXEC).ok()
+}
+
+/// Descriptors that the system allows this process.
+pub fn allowed() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    limit.current.map_or(usize::MAX, |n| usize::try_from(n).unwrap_or(usize::MAX))
+}
+
 /// Did this call fail for want of descriptors or memory of the system?
 pub fn is_fd_shortage(error: Errno) -> bool {
     matches!(error, Errno::MFILE | Errno::NFILE | Errno::NOBUFS | Errno::NOMEM)
@@ -51,10 +63,11 @@
     net::getsockname(listener).ok()?.try_into().ok()
 }
 
-/// Takes the next connection that waits at a listener.
-pub fn accept(listener: impl AsFd, chunk: usize) -> io::Result<Stream> {
-    let fd = net::accept_with(listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC)?;
-    Stream::new(fd, chunk)
+/// Takes the next connection that waits at a listener, and where it comes from.
+pub fn accept(listener: impl AsFd, chunk: usize) -> io::Result<(Stream, IpAddr)> {
+    let (fd, peer) = net::acceptfrom_with(listener, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC)?;
+    let peer = peer.and_then(|p| SocketAddr::try_from(p).ok()).map(|p| p.ip());
+    Ok((Stream::new(fd, chunk)?, peer.unwrap_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED))))
 }
 
 /// Begins a connection; it is up, or has failed, once it is writable.
--- /dev/null
+++ b/operator/src/explain.rs
@@ -0,0 +1,41 @@
+//! The effective settings with their sources, as `roseyard explain` prints them.
+
+use crate::file::File;
+use crate::schema::{Effective, Machine, SETTINGS};
+use crate::Mistakes;
+
+/// One setting, as it holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// Section and name, with a dot between.
+    pub name: String,
+    /// Its value.
+    pub value: String,
+    /// File and line, or where else it comes from.
+    pub source: String,
+    /// What it is for.
+    pub about: &'static str,
+    /// What it may be.
+    pub allowed: String,
+}
+
+impl File {
+    /// Every setting that there is, by section.
+    pub fn explain(&self, machine: &Machine) -> Result<Vec<Row>, Mistakes> {
+        let effective = self.effective(machine)?;
+        let defaults = Effective::new(machine);
+        let row = |setting: &crate::schema::Setting| {
+            let value = (setting.show)(&effective);
+            // A default may follow from another setting that the file gives.
+            let fallback = if value == (setting.show)(&defaults) { "default" } else { "follows from others" };
+            Row {
+                name: format!("{}.{}", setting.section, setting.name),
+                source: self.place_of(setting).unwrap_or_else(|| fallback.into()),
+                value,
+                about: setting.about,
+                allowed: setting.kind.allowed(),
+            }
+        };
+        Ok(SETTINGS.iter().map(row).collect())
+    }
+}
--- /dev/null
+++ b/operator/src/file.rs
@@ -0,0 +1,165 @@
+//! Reads the file against the table of settings. Nothing of a file with a mistake takes effect.
+
+use crate::mistake::{Mistake, Mistakes};
+use crate::schema::{Effective, Machine, Setting, NEEDS, SETTINGS};
+use crate::value::Value;
+use kdl::{KdlDocument, KdlNode};
+use miette::{NamedSource, SourceSpan};
+use roseyard_admission::{Budget, Use};
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::Arc;
+
+/// Longest file that is read.
+const MOST_BYTES: u64 = 1 << 20;
+
+/// A file whose every setting can be read.
+#[derive(Clone, Debug)]
+pub struct File {
+    source: Arc<NamedSource<String>>,
+    given: BTreeMap<(&'static str, &'static str), (Value, SourceSpan)>,
+}
+
+impl File {
+    /// No file: defaults alone.
+    pub fn none() -> File {
+        File { source: Arc::new(NamedSource::new("defaults", String::new())), given: BTreeMap::new() }
+    }
+
+    /// Reads and checks a file.
+    pub fn read(path: &Path) -> Result<File, String> {
+        let named = |e: std::io::Error| format!("{}: {e}", path.display());
+        if std::fs::metadata(path).map_err(named)?.len() > MOST_BYTES {
+            return Err(format!("{}: longer than 1 MiB", path.display()));
+        }
+        let text = std::fs::read_to_string(path).map_err(named)?;
+        File::parse(&path.display().to_string(), &text).map_err(|wrong| wrong.to_string())
+    }
+
+    /// Checks a file's text. All mistakes are found at once.
+    pub fn parse(name: &str, text: &str) -> Result<File, Mistakes> {
+        let source = Arc::new(NamedSource::new(name, text.to_owned()));
+        let document = KdlDocument::parse_v2(text).map_err(|wrong| {
+            let told = |d: &kdl::KdlDiagnostic| {
+                let mistake = Mistake::new(&source, d.span, d.to_string());
+                match &d.help {
+                    Some(help) => mistake.help(help),
+                    None => mistake,
+                }
+            };
+            Mistakes(wrong.diagnostics.iter().map(told).collect())
+        })?;
+        let mut file = File { source, given: BTreeMap::new() };
+        let mut wrong = Vec::new();
+        let mut seen = BTreeMap::new();
+        for section in document.nodes() {
+            file.take_section(section, &mut seen, &mut wrong);
+        }
+        for (section, name, needed) in NEEDS {
+            let on = file.given.get(&(*section, *needed)).is_some_and(|(v, _)| *v != Value::Flag(false));
+            if let Some((_, span)) = file.given.get(&(*section, *name)).filter(|_| !on) {
+                let what = format!("'{name}' has no effect without '{needed}'");
+                wrong.push(Mistake::new(&file.source, *span, what).help(format!("set '{needed}' too")));
+            }
+        }
+        if wrong.is_empty() {
+            Ok(file)
+        } else {
+            wrong.sort_by_key(Mistake::place);
+            Err(Mistakes(wrong))
+        }
+    }
+
+    fn take_section<'a>(
+        &mut self,
+        section: &'a KdlNode,
+        seen: &mut BTreeMap<(&'a str, &'a str), usize>,
+        wrong: &mut Vec<Mistake>,
+    ) {
+        let name = section.name();
+        let sections = || SETTINGS.iter().map(|s| s.section);
+        let mistake = |span: SourceSpan, what: String| Mistake::new(&self.source, span, what);
+        if !sections().any(|s| s == name.value()) {
+            let what = format!("there is no section '{}'", name.value());
+            return wrong.push(mistake(name.span(), what).help(hint(name.value(), sections())));
+        }
+        if let Some(entry) = section.entries().first() {
+            let what = format!("'{}' holds settings in braces, not values", name.value());
+            wrong.push(mistake(entry.span(), what));
+        }
+        let Some(children) = section.children() else {
+            return wrong.push(
+                mistake(name.span(), format!("'{}' holds nothing", name.value()))
+                    .help(format!("write '{} {{ … }}' or leave it out", name.value())),
+            );
+        };
+        for node in children.nodes() {
+            let of = || SETTINGS.iter().filter(|s| s.section == name.value());
+            let Some(setting) = of().find(|s| s.name == node.name().value()) else {
+                let what = format!("'{}' has no setting '{}'", name.value(), node.name().value());
+                let help = hint(node.name().value(), of().map(|s| s.name));
+                wrong.push(mistake(node.name().span(), what).help(help));
+                continue;
+            };
+            let line = mistake(node.span(), String::new()).place().0;
+            if let Some(first) = seen.insert((setting.section, setting.name), line) {
+                let what = format!("'{}' is set twice, first on line {first}", setting.name);
+                wrong.push(mistake(node.name().span(), what));
+                continue;
+            }
+            match setting.kind.read(node) {
+                Ok(value) => {
+                    self.given.insert((setting.section, setting.name), (value, node.name().span()));
+                }
+                Err((span, what)) => {
+                    let mistake = Mistake::new(&self.source, span, what);
+                    let help = format!("'{}' takes {}", setting.name, setting.kind.allowed());
+                    wrong.push(mistake.help(help));
+                }
+            }
+        }
+    }
+
+    /// All settings on such a machine. An error if they do not fit it.
+    pub fn effective(&self, machine: &Machine) -> Result<Effective, Mistakes> {
+        let mut effective = Effective::new(machine);
+        for setting in SETTINGS {
+            if let Some((value, _)) = self.given.get(&(setting.section, setting.name)) {
+                (setting.apply)(&mut effective, value);
+            }
+        }
+        // Guards against places for clients that no descriptor stands for.
+        let most = effective.share(Use::Clients).most;
+        effective.policy.places = effective.policy.places.min(most).max(1);
+        match Budget::new(effective.sockets, effective.shares) {
+            Ok(_) => Ok(effective),
+            Err(few) => {
+                let first = self.given.iter().find(|((section, _), _)| *section == "descriptors");
+                let span = first.map_or((0, 0).into(), |(_, (_, span))| *span);
+                let help = "lower 'least' of clients or links, or give the process more descriptors";
+                Err(Mistakes(vec![Mistake::new(&self.source, span, few.to_string()).help(help)]))
+            }
+        }
+    }
+
+    /// Where a setting stands in the file: its name and line.
+    pub(crate) fn place_of(&self, setting: &Setting) -> Option<String> {
+        let (_, span) = self.given.get(&(setting.section, setting.name))?;
+        let line = Mistake::new(&self.source, *span, String::new()).place().0;
+        Some(format!("{}:{line}", self.source.name()))
+    }
+}
+
+/// The likeliest word, or all there are.
+fn hint<'a>(word: &str, known: impl Iterator<Item = &'a str> + Clone) -> String {
+    let near = |k: &&str| strsim::jaro_winkler(word, k);
+    let best = known.clone().max_by(|a, b| near(a).total_cmp(&near(b)));
+    match best.filter(|best| near(best) >= 0.75) {
+        Some(best) => format!("did you mean '{best}'?"),
+        None => {
+            let mut all: Vec<&str> = known.collect();
+            all.dedup();
+            format!("there are {}", all.join(", "))
+        }
+    }
+}
--- /dev/null
+++ b/operator/src/value.rs
@@ -0,0 +1,191 @@
+//! Kinds of values, how they are read and how they are shown.
+
+use ipnet::IpNet;
+use kdl::{KdlEntry, KdlNode, KdlValue};
+use miette::SourceSpan;
+use std::net::IpAddr;
+use std::time::Duration;
+
+/// What a setting holds, with its bounds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Kind {
+    /// `#true` or `#false`.
+    Flag,
+    /// A whole number.
+    Count(u64, u64),
+    /// A number.
+    Number(f64, f64),
+    /// A share of something, 0 to 1.
+    Share,
+    /// A time such as "250ms" or "1h 30m", bounds in milliseconds.
+    Time(u64, u64),
+    /// So many a second, and `burst=` at once.
+    Rate,
+    /// Bits of prefixes: `v4=24 v6-client=64 v6=48`, each of its own accord.
+    Prefixes,
+    /// Addresses and ranges of addresses.
+    Ranges,
+    /// `least=` and `most=`, each of its own accord, up to so many.
+    Bounds(u64),
+    /// One of these words.
+    Word(&'static [&'static str]),
+    /// The path of a file.
+    Path,
+}
+
+/// What stands in the file.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Value {
+    Flag(bool),
+    Count(u64),
+    Number(f64),
+    Time(Duration),
+    Rate(f64, f64),
+    /// By the names of the properties that were given.
+    Named(Vec<(&'static str, u64)>),
+    Ranges(Vec<IpNet>),
+    Text(String),
+}
+
+const PREFIXES: [(&str, u64, u64); 3] = [("v4", 8, 32), ("v6-client", 32, 128), ("v6", 16, 128)];
+
+/// What is wrong, and where.
+pub(crate) type Wrong = (SourceSpan, String);
+
+impl Kind {
+    /// What is allowed, for messages and pages.
+    pub fn allowed(&self) -> String {
+        match self {
+            Kind::Flag => "#true or #false".into(),
+            Kind::Count(least, most) => format!("a whole number from {least} to {most}"),
+            Kind::Number(least, most) => format!("a number from {least} to {most}"),
+            Kind::Share => "a share from 0 to 1".into(),
+            Kind::Time(least, most) => {
+                let shown = |ms: &u64| humantime::format_duration(Duration::from_millis(*ms)).to_string();
+                format!("a time from \"{}\" to \"{}\"", shown(least), shown(most))
+            }
+            Kind::Rate => "a rate a second from 0.001 to 1000000, and burst= from 1 to 1000000".into(),
+            Kind::Prefixes => {
+                let each = PREFIXES.map(|(name, least, most)| format!("{name}= from {least} to {most}"));
+                each.join(", ")
+            }
+            Kind::Ranges => "addresses or ranges such as \"192.0.2.7\" or \"2001:db8::/32\"".into(),
+            Kind::Bounds(most) => format!("least= and most= from 0 to {most}, least not above most"),
+            Kind::Word(words) => words.join(" or "),
+            Kind::Path => "the path of a file".into(),
+        }
+    }
+
+    /// Reads a setting's values.
+    pub fn read(&self, node: &KdlNode) -> Result<Value, Wrong> {
+        let wrong = |what: String| (node.span(), what);
+        if let Some(children) = node.children() {
+            return Err((children.span(), format!("'{}' holds values, not settings", node.name().value())));
+        }
+        let named = |name: &str| node.entries().iter().find(|e| e.name().is_some_and(|n| n.value() == name));
+        let names: &[&str] = match self {
+            Kind::Rate => &["burst"],
+            Kind::Prefixes => &["v4", "v6-client", "v6"],
+            Kind::Bounds(_) => &["least", "most"],
+            _ => &[],
+        };
+        for entry in node.entries() {
+            if let Some(name) = entry.name().filter(|n| !names.contains(&n.value())) {
+                let what = format!("'{}' takes no '{}='", node.name().value(), name.value());
+                return Err((entry.span(), what));
+            }
+        }
+        let plain: Vec<&KdlEntry> = node.entries().iter().filter(|e| e.name().is_none()).collect();
+        let counts = match self {
+            Kind::Ranges => 1..=4096,
+            Kind::Prefixes | Kind::Bounds(_) => 0..=0,
+            _ => 1..=1,
+        };
+        if !counts.contains(&plain.len()) {
+            let (name, held) = (node.name().value(), plain.len());
+            return Err(wrong(format!("'{name}' has {held} values")));
+        }
+        let one = plain.first().copied();
+        let bad = |entry: &KdlEntry| {
+            let shown = entry.value().as_string().map(|text| format!("{text:?}"));
+            let shown = shown.unwrap_or_else(|| entry.value().to_string());
+            (entry.span(), format!("{shown} is not allowed here"))
+        };
+        let whole = |entry: &KdlEntry, least: u64, most: u64| {
+            let found = entry.value().as_integer().and_then(|n| u64::try_from(n).ok());
+            found.filter(|n| (least..=most).contains(n)).ok_or_else(|| bad(entry))
+        };
+        let number = |entry: &KdlEntry, least: f64, most: f64| {
+            let found = match entry.value() {
+                KdlValue::Integer(n) => Some(*n as f64),
+                KdlValue::Float(n) => Some(*n),
+                _ => None,
+            };
+            found.filter(|n| (least..=most).contains(n)).ok_or_else(|| bad(entry))
+        };
+        let text =
+            |entry: &'_ KdlEntry| entry.value().as_string().map(str::to_owned).ok_or_else(|| bad(entry));
+        let one = || one.ok_or_else(|| wrong("a value is missing".into()));
+        Ok(match self {
+            Kind::Flag => {
+                let entry = one()?;
+                Value::Flag(entry.value().as_bool().ok_or_else(|| bad(entry))?)
+            }
+            Kind::Count(least, most) => Value::Count(whole(one()?, *least, *most)?),
+            Kind::Number(least, most) => Value::Number(number(one()?, *least, *most)?),
+            Kind::Share => Value::Number(number(one()?, 0.0, 1.0)?),
+            Kind::Time(least, most) => {
+                let entry = one()?;
+                let time = humantime::parse_duration(&text(entry)?).map_err(|_| bad(entry))?;
+                let bounds = Duration::from_millis(*least)..=Duration::from_millis(*most);
+                Value::Time(Some(time).filter(|t| bounds.contains(t)).ok_or_else(|| bad(entry))?)
+            }
+            Kind::Rate => {
+                let rate = number(one()?, 0.001, 1e6)?;
+                let burst = named("burst").map(|e| number(e, 1.0, 1e6)).transpose()?;
+                Value::Rate(rate, burst.unwrap_or(rate.max(1.0)))
+            }
+            Kind::Prefixes => {
+                let mut held = Vec::new();
+                for (name, least, most) in PREFIXES {
+                    if let Some(entry) = named(name) {
+                        held.push((name, whole(entry, least, most)?));
+                    }
+                }
+                Value::Named(held)
+            }
+            Kind::Bounds(top) => {
+                let mut held = Vec::new();
+                for name in ["least", "most"] {
+                    if let Some(entry) = named(name) {
+                        held.push((name, whole(entry, 0, *top)?));
+                    }
+                }
+                if let [(_, least), (_, most)] = held[..] {
+                    if least > most {
+                        return Err(wrong(format!("least={least} is above most={most}")));
+                    }
+                }
+                Value::Named(held)
+            }
+            Kind::Ranges => {
+                let range = |entry: &&KdlEntry| {
+                    let text = text(entry)?;
+                    let one = || text.parse::<IpAddr>().map(IpNet::from);
+                    text.parse::<IpNet>().or_else(|_| one()).map_err(|_| bad(entry))
+                };
+                Value::Ranges(plain.iter().map(range).collect::<Result<_, Wrong>>()?)
+            }
+            Kind::Word(words) => {
+                let entry = one()?;
+                let text = text(entry)?;
+                Value::Text(Some(text).filter(|t| words.contains(&t.as_str())).ok_or_else(|| bad(entry))?)
+            }
+            Kind::Path => {
+                let entry = one()?;
+                let text = text(entry)?;
+                Value::Text(Some(text).filter(|t| !t.is_empty()).ok_or_else(|| bad(entry))?)
+            }
+        })
+    }
+}
