--- a/admission/src/gate.rs
+++ b/admission/src/gate.rs
@@ -4,6 +4,7 @@
 use crate::book::{Book, Record, Score};
 use crate::lists::Lists;
 use crate::policy::Policy;
+use crate::rate::Arrival;
 use crate::snapshot::{Remembered, Snapshot};
 use std::net::IpAddr;
 use std::time::Duration;
@@ -199,6 +200,8 @@
     warm_until: Duration,
     counts: [u64; REASONS.len()],
     refused: u64,
+    /// Of newcomers' requests.
+    pace: Arrival,
     secret: u64,
 }
 
@@ -222,6 +225,7 @@
             warm_until: now + policy.warm_up,
             counts: [0; REASONS.len()],
             refused: 0,
+            pace: Arrival::default(),
             secret,
             policy,
         }
@@ -242,7 +246,7 @@
         self.counts
     }
 
-    /// Requests refused so far because their place was lent.
+    /// Requests refused so far because their place was lent, or for the pace of newcomers.
     pub fn refused(&self) -> u64 {
         self.refused
     }
@@ -439,7 +443,12 @@
             let may = match standing {
                 Standing::Suspect | Standing::Ending | Standing::Once | Standing::Newcomer => true,
                 Standing::Silent => for_one >= Standing::Known || rested >= self.policy.breath,
-                Standing::Known => for_one >= Standing::Known || rested >= self.policy.guard,
+                // While some have only just come, a newcomer waits its breath rather than a known client go:
+                // guards against a flood fast enough that none of its connections has had time to speak.
+                Standing::Known => {
+                    let some_just_came = self.rested.len(Standing::Silent as usize) > 0;
+                    for_one >= Standing::Known || rested >= self.policy.guard && !some_just_came
+                }
                 Standing::Listed => for_one >= Standing::Listed,
             };
             may.then_some(place.conn)
@@ -563,11 +572,19 @@
         let (busy, customer_of) = (place.busy, place.customer);
         if busy.is_none() {
             let guest = self.rank(place, now) < Standing::Known;
-            // The reserve is lent to newcomers only while they rest, so that it can be given back at once.
-            let lent = self.policy.places.saturating_sub(self.policy.reserve);
-            if guest && self.busy_guests >= lent {
+            // The reserve is lent to newcomers only while they rest, so that it can be given back at once. One
+            // that comes again may have half of it: guards against a flood of first requests that keeps a client
+            // which lost its connection from ever being served, and so from being known again.
+            let kept = if place.asked > 1 { self.policy.reserve / 2 } else { self.policy.reserve };
+            let lent = self.policy.places.saturating_sub(kept);
+            let paced = match self.policy.pace_newcomers.filter(|_| guest) {
+                Some(rate) => self.pace.take(now, rate),
+                None => Ok(()),
+            };
+            if guest && self.busy_guests >= lent || paced.is_err() {
                 self.refused += 1;
-                out.push(Action::Refuse { after: self.policy.advice });
+                let wait = paced.err().unwrap_or_default();
+                out.push(Action::Refuse { after: wait.max(self.policy.advice) });
                 return;
             }
             self.busy_guests += usize::from(guest);
--- a/admission/src/policy.rs
+++ b/admission/src/policy.rs
@@ -10,7 +10,7 @@
     /// Client connections in all.
     pub places: usize,
     /// Of these, places on which newcomers may connect but not have requests open, so that listed and known
-    /// clients find them at once.
+    /// clients find them at once. Newcomers that come again may use half of it.
     pub reserve: usize,
     /// Connections that have asked nothing yet and wait; beyond it the one that has waited longest goes.
     pub silent_room: usize,
@@ -26,6 +26,9 @@
     pub rate_client: Option<Rate>,
     /// New connections of one neighbourhood.
     pub rate_neighbourhood: Option<Rate>,
+    /// Requests of all newcomers together: guards known clients' share of the servers against a flood that asks
+    /// for what its customers' quotas allow and begins again whenever it is closed.
+    pub pace_newcomers: Option<Rate>,
     /// What of an address names a client and its neighbourhood.
     pub prefixes: Prefixes,
     /// The operator's own addresses.
@@ -73,6 +76,7 @@
             per_neighbourhood: None,
             rate_client: None,
             rate_neighbourhood: None,
+            pace_newcomers: None,
             prefixes: Prefixes::default(),
             listed: Listed::default(),
             known_after: 3.0,
--- a/admission/tests/cases.rs
+++ b/admission/tests/cases.rs
@@ -174,6 +174,26 @@
     assert_eq!(world.gate.standing(taken[0], world.now), Some(Standing::Silent), "and it fades");
 }
 
+#[test]
+fn newcomers_ask_at_their_pace_and_known_clients_at_any() {
+    let pace_newcomers = Some(Rate { per_second: 10.0, burst: 4.0 });
+    let mut world =
+        World::new(Policy { by_address: true, pace_newcomers, known_after: 2.0, ..Policy::of(100) });
+    let (known, _) = world.connect("192.0.2.1");
+    world.serve(known, 3);
+    world.tell(Event::Closed { conn: known, fault: false });
+    let refused = |world: &mut World, peer: &str| {
+        let (conn, _) = world.connect(peer);
+        let actions = world.tell(Event::Asked { conn, customer: 1 });
+        world.tell(Event::Rested(conn));
+        actions.contains(&Action::Refuse { after: ms(500) })
+    };
+    world.now += ms(1000);
+    let of = (0..20).filter(|n| refused(&mut world, &format!("198.51.100.{n}"))).count();
+    assert_eq!(of, 16, "a burst of four passes");
+    assert!(!(0..20).any(|_| refused(&mut world, "192.0.2.1")));
+}
+
 #[test]
 fn a_cap_lowered_below_what_is_open_closes_what_rests_now_and_what_is_busy_when_it_rests() {
     let policy = Policy { by_address: true, ..Policy::of(10) };
--- a/operator/src/schema.rs
+++ b/operator/src/schema.rs
@@ -285,6 +285,14 @@
         apply: |e, v| e.policy.rate_neighbourhood = v.rate(),
         show: |e| rate(e.policy.rate_neighbourhood),
     },
+    Setting {
+        section: "admission",
+        name: "pace-newcomers",
+        kind: Kind::Rate,
+        about: "requests a second of all newcomers together; further ones are refused with advice",
+        apply: |e, v| e.policy.pace_newcomers = v.rate(),
+        show: |e| rate(e.policy.pace_newcomers),
+    },
     Setting {
         section: "admission",
         name: "prefixes",
