--- a/admission/src/lists.rs
+++ b/admission/src/lists.rs
@@ -58,9 +58,9 @@
         Some(self.nodes.get(node as usize)?.before).filter(|n| *n != NONE)
     }
 
-    /// Is the node on a list?
-    pub fn on_any(&self, node: u32) -> bool {
-        self.nodes.get(node as usize).is_some_and(|n| (n.list as usize) < N)
+    /// The list that a node is on.
+    pub fn list_of(&self, node: u32) -> Option<usize> {
+        self.nodes.get(node as usize).map(|n| n.list as usize).filter(|list| *list < N)
     }
 
     /// Puts a node at the end of a list, wherever it was before.
