--- a/admission/benches/decisions.rs
+++ b/admission/benches/decisions.rs
@@ -9,7 +9,7 @@
 fn peer(n: u64) -> IpAddr {
     // In 4,096 neighbourhoods of 256: a million addresses are as many whole /24.
     let n = n as u32;
-    IpAddr::V4(Ipv4Addr::from_bits(0x0a00_0000 | (n % 4096) << 8 | n / 4096))
+    IpAddr::V4(Ipv4Addr::from_bits(0x0a00_0000 | ((n % 4096) << 8) | (n / 4096)))
 }
 
 /// A gate that has seen so many addresses, with `open` connections held.
