--- a/ingress/src/routing/fleet.rs
+++ b/engine/src/fleet.rs
@@ -1,8 +1,6 @@
 //! The list of servers as discovery last told it.
 
-use crate::clock::Clock;
-use crate::protocol::list::{List, Target};
-use crate::transport::Key;
+use crate::list::{List, Target};
 use roseyard::{ListUpdate, ServerEntry, ServerId, ServerState};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -18,10 +16,6 @@
     started: Option<Duration>,
     /// What the module was last told of it.
     told: ServerEntry,
-    /// Idle connections, the latest used last.
-    pub idle: Vec<Key>,
-    /// When bytes of it last arrived.
-    pub heard: Duration,
 }
 
 /// Servers by the number that the module knows them by. A name that comes back after it was removed gets a
@@ -36,11 +30,11 @@
 }
 
 /// What a list changed.
-pub struct Change {
+pub(crate) struct Change {
     /// For the module.
     pub update: ListUpdate,
-    /// Connections that lead to a server that drains, is gone, has restarted or has moved.
-    pub stale: Vec<Key>,
+    /// Servers that drain, are gone, have restarted or have moved: idle connections to them are of no more use.
+    pub stale: Vec<ServerId>,
     /// Entries that could not be read.
     pub bad: usize,
 }
@@ -51,23 +45,22 @@
         self.servers.get(&id)
     }
 
-    /// A server for change.
-    pub fn get_mut(&mut self, id: ServerId) -> Option<&mut Server> {
-        self.servers.get_mut(&id)
-    }
-
     /// Servers that are ready.
     pub fn ready(&self) -> usize {
         self.servers.values().filter(|s| s.state == ServerState::Ready).count()
     }
 
-    /// Takes a list in. Its idle connections to servers that take nothing new, or are not what they were, are
-    /// handed back to be closed.
-    pub fn apply(&mut self, list: &List, zones: &[String], clock: &Clock) -> Change {
+    /// Takes a list in; `started` turns a Unix time in milliseconds into one of the engine's.
+    pub(crate) fn apply(
+        &mut self,
+        list: &List,
+        zones: &[String],
+        started: impl Fn(f64) -> Option<Duration>,
+    ) -> Change {
         let mut change = Change { update: ListUpdate::Failed, stale: Vec::new(), bad: 0 };
         let mut entries = Vec::with_capacity(list.targets.len());
         for target in &list.targets {
-            match self.entry(target, zones, clock, &mut change.stale) {
+            match self.entry(target, zones, &started, &mut change.stale) {
                 Some((entry, settled)) => {
                     if settled {
                         self.supersede(entry.server, &mut entries, &mut change.stale);
@@ -81,7 +74,7 @@
             for (id, server) in &mut self.servers {
                 if !entries.iter().any(|e| e.server == *id) {
                     server.state = ServerState::Gone;
-                    change.stale.append(&mut server.idle);
+                    change.stale.push(*id);
                 }
             }
         }
@@ -100,11 +93,11 @@
 
     /// Guards against a new server at the address of one that is gone but was not told gone: the old one's
     /// connections, load and health are not the new one's.
-    fn supersede(&mut self, by: ServerId, entries: &mut Vec<ServerEntry>, stale: &mut Vec<Key>) {
+    fn supersede(&mut self, by: ServerId, entries: &mut Vec<ServerEntry>, stale: &mut Vec<ServerId>) {
         let Some(address) = self.servers.get(&by).map(|s| s.address) else { return };
-        for (_, old) in self.servers.iter_mut().filter(|(id, s)| **id != by && s.address == address) {
+        for (id, old) in self.servers.iter_mut().filter(|(id, s)| **id != by && s.address == address) {
             old.state = ServerState::Gone;
-            stale.append(&mut old.idle);
+            stale.push(*id);
             entries.retain(|e| e.server != old.told.server);
             entries.push(ServerEntry { state: ServerState::Gone, ..old.told.clone() });
         }
@@ -115,8 +108,8 @@
         &mut self,
         target: &Target,
         zones: &[String],
-        clock: &Clock,
-        stale: &mut Vec<Key>,
+        started: &impl Fn(f64) -> Option<Duration>,
+        stale: &mut Vec<ServerId>,
     ) -> Option<(ServerEntry, bool)> {
         let state = match target.state.as_str() {
             "SERVING" => ServerState::Ready,
@@ -125,7 +118,7 @@
             _ => return None,
         };
         let address: SocketAddr = target.endpoint.parse().ok()?;
-        let started = clock.from_unix_ms(target.boot_ms);
+        let started = started(target.boot_ms);
         let id = *self.numbers.entry(target.uid.clone()).or_insert_with(|| {
             self.next += 1;
             ServerId(self.next)
@@ -145,11 +138,9 @@
             state,
             started,
             told: told.clone(),
-            idle: Vec::new(),
-            heard: Duration::ZERO,
         });
         if state != ServerState::Ready || server.started != started || server.address != address {
-            stale.append(&mut server.idle);
+            stale.push(id);
         }
         (server.address, server.state, server.started, server.told) = (address, state, started, told.clone());
         Some((told, state == ServerState::Ready && known != Some(address)))
@@ -159,7 +150,10 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::transport::Slots;
+
+    fn started(ms: f64) -> Option<Duration> {
+        Duration::try_from_secs_f64(ms / 1000.0).ok().filter(|d| !d.is_zero())
+    }
 
     fn list(rev: u64, all: bool, entries: &[(&str, &str, u64, f64)]) -> List {
         let target = |(uid, state, port, boot_ms): &(&str, &str, u64, f64)| Target {
@@ -176,9 +170,9 @@
 
     #[test]
     fn a_server_keeps_its_number_until_it_is_gone_and_a_full_list_ends_those_it_lacks() {
-        let (mut fleet, clock) = (Fleet::default(), Clock::start());
+        let mut fleet = Fleet::default();
         let zones = ["a".to_owned(), "b".to_owned()];
-        let mut apply = |l: &List| fleet.apply(l, &zones, &clock).update;
+        let mut apply = |l: &List| fleet.apply(l, &zones, started).update;
         let first = [("s-1", "SERVING", 7001, 0.0), ("s-2", "SERVING", 7002, 0.0)];
         let ListUpdate::Full(entries) = apply(&list(1, true, &first)) else { panic!() };
         assert_eq!((entries[0].zone, entries[0].cell), (1, 3));
@@ -197,7 +191,6 @@
 
     #[test]
     fn idle_connections_go_with_what_they_led_to() {
-        let clock = Clock::start();
         let booted = 4_000_000_000_000.0;
         for (state, port, boot_ms) in [
             ("DRAINING", 7001, 0.0),
@@ -206,36 +199,32 @@
             ("DELETED", 7001, 0.0),
         ] {
             let mut fleet = Fleet::default();
-            fleet.apply(&list(1, true, &[("s-1", "SERVING", 7001, 0.0)]), &[], &clock);
-            let key = Slots::default().insert_with(|_| ());
-            fleet.get_mut(ServerId(1)).unwrap().idle.push(key);
-            let same = fleet.apply(&list(2, false, &[("s-1", "SERVING", 7001, 0.0)]), &[], &clock);
+            fleet.apply(&list(1, true, &[("s-1", "SERVING", 7001, 0.0)]), &[], started);
+            let same = fleet.apply(&list(2, false, &[("s-1", "SERVING", 7001, 0.0)]), &[], started);
             assert!(same.stale.is_empty());
-            let change = fleet.apply(&list(3, false, &[("s-1", state, port, boot_ms)]), &[], &clock);
-            assert_eq!(change.stale, [key], "{state} {port} {boot_ms}");
+            let change = fleet.apply(&list(3, false, &[("s-1", state, port, boot_ms)]), &[], started);
+            assert_eq!(change.stale, [ServerId(1)], "{state} {port} {boot_ms}");
         }
     }
 
     #[test]
     fn a_new_server_at_an_old_address_is_another_and_the_old_one_is_gone() {
-        let (mut fleet, clock) = (Fleet::default(), Clock::start());
-        fleet.apply(&list(1, true, &[("s-1", "SERVING", 7001, 0.0)]), &[], &clock);
-        let key = Slots::default().insert_with(|_| ());
-        fleet.get_mut(ServerId(1)).unwrap().idle.push(key);
-        let change = fleet.apply(&list(2, false, &[("s-2", "SERVING", 7001, 0.0)]), &[], &clock);
+        let mut fleet = Fleet::default();
+        fleet.apply(&list(1, true, &[("s-1", "SERVING", 7001, 0.0)]), &[], started);
+        let change = fleet.apply(&list(2, false, &[("s-2", "SERVING", 7001, 0.0)]), &[], started);
         let ListUpdate::Changes(entries) = change.update else { panic!() };
         let told: Vec<_> = entries.iter().map(|e| (e.server.0, e.state, e.cell)).collect();
         assert_eq!(told, [(1, ServerState::Gone, 3), (2, ServerState::Ready, 3)]);
-        assert_eq!(change.stale, [key], "its connections go with it");
-        assert!(fleet.get(ServerId(1)).is_none() && fleet.get(ServerId(2)).unwrap().idle.is_empty());
+        assert_eq!(change.stale, [ServerId(1)], "its connections go with it");
+        assert!(fleet.get(ServerId(1)).is_none() && fleet.get(ServerId(2)).is_some());
     }
 
     #[test]
     fn an_entry_that_cannot_be_read_leaves_the_others() {
-        let (mut fleet, clock) = (Fleet::default(), Clock::start());
+        let mut fleet = Fleet::default();
         let mut odd = list(1, true, &[("s-1", "SERVING", 7001, 0.0), ("s-2", "ODD", 7002, 0.0)]);
         odd.targets[1].boot_ms = f64::NAN;
-        let change = fleet.apply(&odd, &[], &clock);
+        let change = fleet.apply(&odd, &[], started);
         assert_eq!((change.bad, fleet.ready()), (1, 1));
     }
 }
--- /dev/null
+++ b/engine/src/lib.rs
@@ -0,0 +1,23 @@
+//! One request's life around the decision module: taken in, counted, attempted, answered exactly once.
+//!
+//! [`Engine`] wraps the module's [`roseyard::Gateway`] and keeps what every front needs beside it: which requests
+//! are held, the one attempt that is out for each, which servers there are and what they take. It performs no I/O
+//! and reads no clock. Whoever drives it tells what has happened and carries out what [`Engine::poll`] hands over;
+//! the daemon does so on epoll. The rules that hold for all of them stand here:
+//!
+//! - one attempt of a request at a time, and an end is taken once, by the attempt's number;
+//! - nothing is written to a server that drains, is gone or has moved, for a request that is over, or too late
+//!   ([`Engine::may_write`]);
+//! - a request has exactly one final answer, also when its owner leaves and when the engine is stopped.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod engine;
+mod fleet;
+mod list;
+mod slots;
+
+pub use engine::{Answer, Ask, Bounds, End, Engine, Full, Output};
+pub use fleet::{Fleet, Server};
+pub use list::{List, Target};
+pub use slots::{Key, Slots};
--- /dev/null
+++ b/engine/tests/model.rs
@@ -0,0 +1,417 @@
+//! The engine among random and among all short sequences of what may happen, its outputs held against a naive
+//! account of each request: what was sent where, what may have run, what was answered.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use roseyard::*;
+use roseyard_engine::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Told with every failure by the runner; another seed plays other steps.
+const SEED: u64 = 20_261_201;
+const START: Duration = Duration::from_secs(86_400);
+const SAFE: usize = 0;
+const KEYED: usize = 1;
+const UNSAFE: usize = 2;
+const WINDOW: Duration = Duration::from_secs(8);
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn settings() -> Settings {
+    let class = |effect| Class {
+        aim: ms(1000),
+        aim_stretch: 0.0,
+        deadline: ms(4000),
+        worth: 1.0,
+        late_worth: 0.1,
+        effect,
+        streamed: false,
+    };
+    let keyed = Effect::Keyed { group: DedupGroup::Cell, window: WINDOW };
+    Settings {
+        gateways: 2,
+        zone: 0,
+        tick: ms(1),
+        classes: vec![class(Effect::Safe), class(keyed), class(Effect::Unsafe)],
+        plans: vec![Plan {
+            rate: 20.0,
+            burst: 30.0,
+            max_open: 0,
+            ceiling_rate: 0.0,
+            ceiling_burst: 0.0,
+            ceiling_slack: 0.0,
+            price: 1.0,
+            excess_worth: 0.0,
+            excess_cost: 1.0,
+        }],
+        counter: Some(Counter { timeout: ms(50) }),
+        meter_period: None,
+        reports_on_probe: true,
+        discovery: Discovery::Push,
+        // The engine must not have two attempts out even where the platform would allow it.
+        limits: Limits {
+            max_attempts: 4,
+            cancel: true,
+            duplicates: true,
+            probes: true,
+            retry_advice: true,
+            max_retry_advice: ms(1000),
+        },
+        guarantees: Guarantees {
+            cold_share: 0.3,
+            warm_within: ms(10_000),
+            tip_multiple: 2.0,
+            tip_after: ms(2000),
+            drain_grace: ms(2000),
+        },
+    }
+}
+
+/// What a request is known to have been through.
+#[derive(Default)]
+struct Account {
+    class: usize,
+    left: bool,
+    answers: usize,
+    sent: u16,
+    out: Option<(u16, ServerId)>,
+    /// Cell of the first attempt that may have run, and when that was sent.
+    ran: Option<(u16, Duration)>,
+    sent_at: Duration,
+}
+
+struct World {
+    engine: Engine<u64, u64, u64>,
+    now: Duration,
+    accounts: BTreeMap<u64, Account>,
+    keys: BTreeMap<u64, Key>,
+    calls: Vec<(CountName, f64)>,
+    probes: Vec<ServerId>,
+    totals: BTreeMap<u64, f64>,
+    rev: u64,
+    states: BTreeMap<u16, &'static str>,
+}
+
+impl World {
+    fn new(servers: u16) -> World {
+        let engine = Engine::new(settings(), 7, Bounds { requests: 40, bytes: 1000 }).unwrap();
+        let mut world = World {
+            engine,
+            now: START,
+            accounts: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            calls: Vec::new(),
+            probes: Vec::new(),
+            totals: BTreeMap::new(),
+            rev: 0,
+            states: (0..servers).map(|n| (n, "SERVING")).collect(),
+        };
+        world.tell();
+        world
+    }
+
+    fn tell(&mut self) {
+        self.rev += 1;
+        let targets = self.states.iter().map(|(n, state)| Target {
+            uid: format!("s-{n}"),
+            endpoint: format!("127.0.0.1:{}", 7000 + n),
+            az: String::new(),
+            // Two servers a pod.
+            pod_group: n / 2,
+            state: (*state).to_owned(),
+            capacity_hint: 1.0,
+            boot_ms: 0.0,
+        });
+        let list = List { rev: self.rev, all: true, targets: targets.collect() };
+        self.engine.take_list(&list, &[], |_| None);
+        self.settle();
+    }
+
+    fn cell(server: ServerId) -> u16 {
+        // Numbers follow the order of the list, from 1.
+        (server.0 as u16 - 1) / 2
+    }
+
+    fn submit(&mut self, class: usize) {
+        let id = self.accounts.len() as u64;
+        let ask = Ask {
+            owner: id,
+            class,
+            plan: 0,
+            customer: CustomerId(id % 3),
+            units: 1.0,
+            spread: 2,
+            time_left: ms(2000),
+            command: id,
+            bytes: 20,
+        };
+        let held = self.engine.open();
+        match self.engine.submit(ask) {
+            Ok(key) => {
+                self.keys.insert(id, key);
+                self.accounts.insert(id, Account { class, ..Account::default() });
+            }
+            Err(Full) => assert!(held >= 40, "refused at {held}"),
+        }
+        self.settle();
+    }
+
+    fn leave(&mut self, id: u64) {
+        let account = self.accounts.get_mut(&id).unwrap();
+        account.left |= account.answers == 0;
+        self.engine.abandon(self.keys[&id]);
+        self.settle();
+    }
+
+    fn end(&mut self, id: u64, outcome: Outcome) {
+        let key = self.keys[&id];
+        let account = self.accounts.get_mut(&id).unwrap();
+        let Some((attempt, server)) = account.out.take() else { return };
+        let never = matches!(outcome, Outcome::ConnectFailed | Outcome::Full | Outcome::Moot);
+        if !never && account.ran.is_none() {
+            account.ran = Some((World::cell(server), account.sent_at));
+        }
+        let value = (outcome == Outcome::Ok).then_some(id);
+        self.engine.ended(key, attempt, End { outcome, value, load: None }, self.now);
+        // Told again, or of another attempt: passed over.
+        self.engine.ended(key, attempt, End { outcome: Outcome::Ok, value: Some(99), load: None }, self.now);
+        self.engine.ended(key, attempt + 1, End::of(Outcome::Full), self.now);
+        self.settle();
+    }
+
+    fn count(&mut self, kind: u8) {
+        if self.calls.is_empty() {
+            return;
+        }
+        let (name, add) = self.calls.remove(0);
+        let result = match kind {
+            0 => CountResult::NotAdded,
+            1 => CountResult::Unknown,
+            _ => CountResult::Total({
+                let total = self.totals.entry(name.0).or_default();
+                *total += add;
+                *total
+            }),
+        };
+        self.engine.counted(name, result, ms(1));
+        self.settle();
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now += time;
+        while self.engine.due().is_some_and(|due| due <= self.now) {
+            self.engine.on_due();
+            self.settle();
+        }
+    }
+
+    /// Carries out all that is to be, and holds it against the account.
+    fn settle(&mut self) {
+        while let Some(output) = self.engine.poll(self.now) {
+            match output {
+                Output::Send { request, attempt, server, give_up } => {
+                    let id = *self.engine.command(request).unwrap();
+                    let account = self.accounts.get_mut(&id).unwrap();
+                    assert!(account.out.is_none(), "a second attempt beside one that is out");
+                    assert!(account.answers == 0 && !account.left, "a send for a request that is over");
+                    assert_eq!(attempt, account.sent);
+                    assert!(attempt < 4 && give_up > self.now);
+                    if let Some((cell, since)) = account.ran {
+                        match account.class {
+                            SAFE => {}
+                            KEYED => assert!(
+                                World::cell(server) == cell && self.now - since <= WINDOW,
+                                "a keyed request out of its pod or window"
+                            ),
+                            _ => panic!("what may have run and may not be repeated was sent again"),
+                        }
+                    }
+                    if !self.engine.may_write(request, attempt, give_up, self.now) {
+                        self.engine.ended(request, attempt, End::of(Outcome::Moot), self.now);
+                        account.sent += 1;
+                        continue;
+                    }
+                    assert_eq!(self.states[&(server.0 as u16 - 1)], "SERVING", "written to one that drains");
+                    account.sent += 1;
+                    (account.out, account.sent_at) = (Some((attempt, server)), self.now);
+                }
+                Output::Cancel { request, attempt } => {
+                    let Some(id) = self.engine.command(request).copied() else { continue };
+                    let account = self.accounts.get_mut(&id).unwrap();
+                    if account.out.is_some_and(|(n, _)| n == attempt) {
+                        let (_, server) = account.out.take().unwrap();
+                        account.ran = account.ran.or(Some((World::cell(server), account.sent_at)));
+                        self.engine.ended(request, attempt, End::of(Outcome::Cancelled), self.now);
+                    }
+                }
+                Output::Answer { owner, answer } => {
+                    let account = self.accounts.get_mut(&owner).unwrap();
+                    account.answers += 1;
+                    assert!(account.answers == 1 && !account.left, "more than one final answer");
+                    match answer {
+                        Answer::Served(value) => assert_eq!(value, owner, "another's value"),
+                        Answer::Refused(_) => assert!(
+                            account.class == SAFE || account.ran.is_none() && account.out.is_none(),
+                            "called harmless though it may have run"
+                        ),
+                        Answer::Failed => {}
+                    }
+                }
+                Output::Count { name, add, .. } => self.calls.push((name, add)),
+                Output::Probe { server } => self.probes.push(server),
+                Output::FetchList | Output::Log(_) => {}
+            }
+        }
+    }
+
+    /// Stops, lets what is out end, and counts.
+    fn stop(mut self) {
+        self.engine.stop();
+        self.settle();
+        for (id, account) in &self.accounts {
+            assert_eq!(account.answers, usize::from(!account.left), "final answers of request {id}");
+        }
+        let out: Vec<u64> =
+            self.accounts.iter().filter(|(_, a)| a.out.is_some()).map(|(id, _)| *id).collect();
+        for id in out {
+            self.end(id, Outcome::Timeout);
+        }
+        assert_eq!(self.engine.open(), 0, "nothing is left behind");
+        let before = self.accounts.len();
+        self.submit_refused();
+        assert_eq!(self.accounts.len(), before);
+    }
+
+    fn submit_refused(&mut self) {
+        let ask = Ask {
+            owner: 1 << 40,
+            class: SAFE,
+            plan: 0,
+            customer: CustomerId(1),
+            units: 1.0,
+            spread: 2,
+            time_left: ms(2000),
+            command: 0,
+            bytes: 1,
+        };
+        assert_eq!(self.engine.submit(ask), Err(Full), "what is new after the stop is refused");
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Submit(usize),
+    Leave(usize),
+    End(usize, u8),
+    Count(u8),
+    Probe(bool),
+    List(u16, u8),
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        5 => (0usize..3).prop_map(Step::Submit),
+        1 => (0usize..64).prop_map(Step::Leave),
+        6 => (0usize..64, 0u8..7).prop_map(|(n, o)| Step::End(n, o)),
+        6 => (0u8..8).prop_map(Step::Count),
+        2 => any::<bool>().prop_map(Step::Probe),
+        1 => (0u16..6, 0u8..3).prop_map(|(n, s)| Step::List(n, s)),
+        4 => (1u64..400).prop_map(Step::Pass),
+    ]
+}
+
+const OUTCOMES: [Outcome; 7] = [
+    Outcome::Ok,
+    Outcome::Error,
+    Outcome::Full,
+    Outcome::Timeout,
+    Outcome::ConnectFailed,
+    Outcome::Reset,
+    Outcome::Ok,
+];
+
+impl World {
+    fn play(&mut self, step: Step) {
+        let out: Vec<u64> =
+            self.accounts.iter().filter(|(_, a)| a.out.is_some()).map(|(id, _)| *id).collect();
+        match step {
+            Step::Submit(class) => self.submit(class),
+            Step::Leave(n) => {
+                if let Some(id) = self.keys.keys().nth(n % self.keys.len().max(1)).copied() {
+                    self.leave(id);
+                }
+            }
+            Step::End(n, outcome) => {
+                if let Some(id) = out.get(n % out.len().max(1)) {
+                    self.end(*id, OUTCOMES[usize::from(outcome) % 7]);
+                }
+            }
+            Step::Count(kind) => self.count(kind),
+            Step::Probe(good) => {
+                if let Some(server) = self.probes.pop() {
+                    let load = LoadReport { utilisation: Some(0.3), ..LoadReport::default() };
+                    let outcome = if good { Outcome::Ok } else { Outcome::Timeout };
+                    self.engine.probed(server, outcome, Some(load).filter(|_| good));
+                    self.settle();
+                }
+            }
+            Step::List(n, state) => {
+                // Each goes its way once: a name that comes back after it was removed is another server.
+                let held = self.states.get_mut(&n).unwrap();
+                *held = ["SERVING", "DRAINING", "DRAINING"][usize::from(state)];
+                self.tell();
+            }
+            Step::Pass(time) => self.pass(ms(time)),
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(SEED), ..ProptestConfig::default() })]
+
+    #[test]
+    fn whatever_happens_each_request_is_answered_once_and_repeated_only_as_its_class_allows(
+        steps in prop::collection::vec(step(), 1..160),
+    ) {
+        let mut world = World::new(6);
+        for step in steps {
+            world.play(step);
+        }
+        world.stop();
+    }
+}
+
+/// Every sequence of five things that may happen to one request of each class, among four servers of two pods.
+#[test]
+fn no_short_sequence_breaks_a_rule() {
+    let choices = [
+        Step::End(0, 0),
+        Step::End(0, 2),
+        Step::End(0, 3),
+        Step::End(0, 4),
+        Step::Leave(0),
+        Step::Count(1),
+        Step::Count(7),
+        Step::List(0, 1),
+        Step::Pass(300),
+    ];
+    let mut played = 0u64;
+    for class in [SAFE, KEYED, UNSAFE] {
+        for path in 0..choices.len().pow(5) {
+            let mut world = World::new(4);
+            world.submit(class);
+            let mut rest = path;
+            for _ in 0..5 {
+                world.play(choices[rest % choices.len()]);
+                rest /= choices.len();
+            }
+            world.stop();
+            played += 1;
+        }
+    }
+    assert_eq!(played, 3 * 9u64.pow(5));
+}
--- a/ingress/src/routing/attempts.rs
+++ b/ingress/src/routing/attempts.rs
@@ -1,13 +1,14 @@
 //! Attempts and probes on connections to servers: one at a time on each, as servers answer in order and
 //! abandoning an attempt costs its connection.
 
-use super::core::{Answer, Core};
+use super::core::Core;
 use super::{Io, Party};
 use crate::protocol::report::report;
 use crate::protocol::resp::{self, Value};
 use crate::transport::{connect, is_fd_shortage, Fill, Key, Ready, Stream};
 use roseyard::*;
 use roseyard_admission::Use;
+use roseyard_engine::End;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -38,7 +39,7 @@
 
 #[derive(Clone, Copy, PartialEq)]
 enum Task {
-    Attempt(RequestId, u16),
+    Attempt(Key, u16),
     Probe,
 }
 
@@ -111,9 +112,15 @@
 }
 
 impl Core {
-    pub(super) fn send(&mut self, id: RequestId, server: ServerId, give_up: Duration, io: &mut Io) {
-        let Some(number) = self.next_attempt(id) else { return };
-        let job = Job { task: Task::Attempt(id, number), begun: io.now, give_up };
+    pub(super) fn send(
+        &mut self,
+        request: Key,
+        attempt: u16,
+        server: ServerId,
+        give_up: Duration,
+        io: &mut Io,
+    ) {
+        let job = Job { task: Task::Attempt(request, attempt), begun: io.now, give_up };
         self.start(server, job, io);
     }
 
@@ -122,28 +129,25 @@
         self.start(server, job, io);
     }
 
-    /// May this job's first byte be written now? Guards against sends to a server that drains or is gone, for
-    /// a request that is over or out of time, also after a wait for the connection.
+    /// May this job's first byte be written now?
     fn timely(&self, server: ServerId, job: &Job, now: Duration) -> bool {
-        let ready = self.fleet.get(server).is_some_and(|s| s.state == ServerState::Ready);
-        let wanted = match job.task {
-            Task::Attempt(id, _) => self.requests.get(Key::unpack(id.0)).is_some_and(|r| !r.finished),
-            Task::Probe => true,
-        };
-        ready && wanted && now < job.give_up
+        match job.task {
+            Task::Attempt(request, attempt) => self.life.may_write(request, attempt, job.give_up, now),
+            Task::Probe => self.life.takes_work(server) && now < job.give_up,
+        }
     }
 
     fn start(&mut self, server: ServerId, job: Job, io: &mut Io) {
         if !self.timely(server, &job, io.now) {
-            return self.ended(job, server, Outcome::Moot, None, io.now);
+            return self.ended(job, server, End::of(Outcome::Moot), io.now);
         }
         if let Some(key) = self.rested(server, io) {
             return self.write(key, job, io);
         }
         if !(io.budget.take(Use::Links) || self.evict_idle(io) && io.budget.take(Use::Links)) {
-            return self.ended(job, server, Outcome::ConnectFailed, None, io.now);
+            return self.ended(job, server, End::of(Outcome::ConnectFailed), io.now);
         }
-        let Some(address) = self.fleet.get(server).map(|s| s.address) else {
+        let Some(address) = self.life.address(server) else {
             return io.budget.give(Use::Links);
         };
         let mut opened = connect(&address, io.limits.chunk_bytes);
@@ -155,7 +159,7 @@
         }
         let Ok(stream) = opened else {
             io.budget.give(Use::Links);
-            return self.ended(job, server, Outcome::ConnectFailed, None, io.now);
+            return self.ended(job, server, End::of(Outcome::ConnectFailed), io.now);
         };
         let state = State::Connecting(job);
         let key =
@@ -176,12 +180,12 @@
     /// a request written before an end was seen may have run.
     fn rested(&mut self, server: ServerId, io: &mut Io) -> Option<Key> {
         loop {
-            let pool = &self.fleet.get(server)?.idle;
+            let pool = &self.pools.get(&server)?.idle;
             let rested = |k: &Key| self.links.get(*k).is_some_and(|l| l.used + io.limits.link_rest <= io.now);
             let at = pool.iter().rposition(rested)?;
             let key = pool[at];
             if self.links.get(key).is_some_and(|l| l.stream.quiet()) {
-                self.fleet.get_mut(server)?.idle.remove(at);
+                self.pools.get_mut(&server)?.idle.remove(at);
                 return Some(key);
             }
             self.close_link(key, io);
@@ -196,10 +200,8 @@
     }
 
     fn occupy(&mut self, job: Job, link: Option<Key>) {
-        if let Task::Attempt(id, _) = job.task {
-            if let Some(request) = self.requests.get_mut(Key::unpack(id.0)) {
-                request.link = link;
-            }
+        if let Task::Attempt(request, _) = job.task {
+            self.life.carry(request, link);
         }
     }
 
@@ -211,10 +213,10 @@
         link.used = io.now;
         io.deadlines.set(&mut link.due, Some(job.give_up), Party::Link(key));
         match job.task {
-            Task::Attempt(id, _) => {
-                let Some(request) = self.requests.get(Key::unpack(id.0)) else { return };
+            Task::Attempt(request, _) => {
+                let Some(command) = self.life.command(request) else { return };
                 let wait = (job.give_up - io.now).as_secs_f64() * 1000.0;
-                request.command.put(wait.round().max(1.0) as u64, link.stream.output());
+                command.put(wait.round().max(1.0) as u64, link.stream.output());
             }
             Task::Probe => link.stream.output().extend_from_slice(b"*2\r\n$4\r\nINFO\r\n$4\r\nload\r\n"),
         }
@@ -238,7 +240,7 @@
         let (server, job) = (link.server, link.state.job());
         self.close_link(key, io);
         if let Some(job) = job {
-            self.ended(job, server, outcome, None, io.now);
+            self.ended(job, server, End::of(outcome), io.now);
         }
     }
 
@@ -247,42 +249,23 @@
         io.budget.give(Use::Links);
         self.idle.remove(&(link.used, key));
         io.deadlines.set(&mut link.due, None, Party::Link(key));
-        if let Some(server) = self.fleet.get_mut(link.server) {
-            server.idle.retain(|k| *k != key);
+        if let Some(pool) = self.pools.get_mut(&link.server) {
+            pool.idle.retain(|k| *k != key);
         }
     }
 
-    fn ended(
-        &mut self,
-        job: Job,
-        server: ServerId,
-        outcome: Outcome,
-        load: Option<LoadReport>,
-        now: Duration,
-    ) {
-        self.occupy(job, None);
-        let Task::Attempt(request, attempt) = job.task else {
-            return self.events.push_back(Event::ProbeEnded { server, outcome, load });
-        };
-        let over = self.requests.get(Key::unpack(request.0)).is_none_or(|r| r.finished);
-        self.events.push_back(Event::AttemptEnded(AttemptEnd {
-            request,
-            attempt,
-            server,
-            outcome,
-            elapsed: now.saturating_sub(job.begun),
-            finished: over || outcome == Outcome::Ok,
-            metered_use: None,
-            true_units: None,
-            load,
-        }));
+    fn ended(&mut self, job: Job, server: ServerId, end: End<Vec<u8>>, now: Duration) {
+        match job.task {
+            Task::Attempt(request, attempt) => self.life.ended(request, attempt, end, now),
+            Task::Probe => self.life.probed(server, end.outcome, end.load),
+        }
     }
 
     /// Stops waiting on an attempt: its connection goes with it.
-    pub(super) fn cancel(&mut self, id: RequestId, attempt: u16, io: &mut Io) {
-        let Some(key) = self.requests.get(Key::unpack(id.0)).and_then(|r| r.link) else { return };
+    pub(super) fn cancel(&mut self, request: Key, attempt: u16, io: &mut Io) {
+        let Some(key) = self.life.carrier(request) else { return };
         let Some(link) = self.links.get(key) else { return };
-        if link.state.job().is_some_and(|j| j.task == Task::Attempt(id, attempt)) {
+        if link.state.job().is_some_and(|j| j.task == Task::Attempt(request, attempt)) {
             let written = matches!(link.state, State::Busy(_));
             self.break_link(key, if written { Outcome::Cancelled } else { Outcome::Moot }, io);
         }
@@ -300,10 +283,10 @@
             }
             let server = link.server;
             // Guards against a request to a server's old address after it has moved.
-            let moved = self.fleet.get(server).is_some_and(|s| s.address != link.address);
+            let moved = self.life.address(server).is_some_and(|at| at != link.address);
             if moved || !self.timely(server, &job, io.now) {
                 self.rest(key, io);
-                return self.ended(job, server, Outcome::Moot, None, io.now);
+                return self.ended(job, server, End::of(Outcome::Moot), io.now);
             }
             return self.write(key, job, io);
         }
@@ -316,8 +299,8 @@
         let most = io.limits.value_bytes + io.limits.line_bytes;
         let filled = link.stream.fill(most, io.limits.chunk_bytes, ready.ended);
         if !link.stream.input().is_empty() {
-            if let Some(server) = self.fleet.get_mut(link.server) {
-                server.heard = io.now;
+            if let Some(pool) = self.pools.get_mut(&link.server) {
+                pool.heard = io.now;
             }
             self.on_answer(key, io);
         }
@@ -380,22 +363,20 @@
         } else {
             self.close_link(key, io);
         }
-        self.ended(job, server, outcome, load, io.now);
-        if let (Task::Attempt(id, _), Some(value)) = (job.task, served) {
-            self.answer(id, Answer::Served(value));
-        }
+        self.ended(job, server, End { outcome, value: served, load }, io.now);
     }
 
     /// Puts a connection that is up and free into its server's pool.
     fn rest(&mut self, key: Key, io: &mut Io) {
         let Some(link) = self.links.get_mut(key) else { return };
-        let (server, address) = (self.fleet.get_mut(link.server), link.address);
-        let server = server.filter(|s| s.state == ServerState::Ready && s.address == address);
-        let Some(server) = server else { return self.close_link(key, io) };
+        let server = link.server;
+        if !self.life.takes_work(server) || self.life.address(server) != Some(link.address) {
+            return self.close_link(key, io);
+        }
         (link.state, link.used) = (State::Idle, io.now);
         link.stream.trim(8 * io.limits.chunk_bytes);
         io.deadlines.set(&mut link.due, Some(io.now + io.limits.link_idle), Party::Link(key));
-        server.idle.push(key);
+        self.pools.entry(server).or_default().idle.push(key);
         self.idle.insert((io.now, key));
     }
 
@@ -423,8 +404,8 @@
                 self.break_link(key, Outcome::Timeout, io);
                 // Guards against a machine that vanished: its idle connections are silent too, and a request
                 // written there may have run, while a new connection tells at once that it never did.
-                let silent = self.fleet.get_mut(server).filter(|s| s.heard < job.begun);
-                let idle = silent.map(|s| std::mem::take(&mut s.idle)).unwrap_or_default();
+                let silent = self.pools.get_mut(&server).filter(|p| p.heard < job.begun);
+                let idle = silent.map(|p| std::mem::take(&mut p.idle)).unwrap_or_default();
                 for key in idle {
                     self.close_link(key, io);
                 }
--- a/ingress/src/routing/core.rs
+++ b/ingress/src/routing/core.rs
@@ -1,49 +1,27 @@
-//! Requests and the module: events go in, actions come out and are carried out.
+//! Carries out what the engine hands over: its requests' attempts, its calls to the counter, its probes.
 
 use super::attempts::Link;
 use super::counter::Counter;
 use super::discovery::Watch;
-use super::fleet::Fleet;
 use super::{Io, Party};
 use crate::clock::Clock;
 use crate::protocol::command::Held;
 use crate::protocol::list::List;
 use crate::transport::{Key, Slots};
 use roseyard::*;
-use std::collections::{BTreeSet, VecDeque};
+use roseyard_engine::{Bounds, Engine, Output};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// Whom an answer is for: a client's connection, and the number of its command there.
+pub type Owner = (Key, u64);
+/// The engine as the daemon uses it.
+pub type Life = Engine<Owner, Held, Vec<u8>>;
 /// A request as a front hands it over.
-pub struct Ask {
-    /// Whom the answer is for.
-    pub owner: (Key, u64),
-    /// Index of its class.
-    pub class: usize,
-    /// Index of its customer's plan.
-    pub plan: usize,
-    /// Its customer.
-    pub customer: CustomerId,
-    /// Units.
-    pub units: f64,
-    /// Ingresses of the customer.
-    pub spread: u32,
-    /// Time until the client gives up.
-    pub time_left: Duration,
-    /// What goes to a server.
-    pub command: Held,
-}
-
+pub type Ask = roseyard_engine::Ask<Owner, Held>;
 /// A final answer.
-#[derive(Debug, PartialEq)]
-pub enum Answer {
-    /// The value that a server gave.
-    Served(Vec<u8>),
-    /// Refused; come again after this time.
-    Refused(Option<Duration>),
-    /// Failed.
-    Failed,
-}
+pub type Answer = roseyard_engine::Answer<Vec<u8>>;
 
 /// What the core is started with.
 pub struct Start {
@@ -61,39 +39,33 @@
     pub counter: Option<SocketAddr>,
 }
 
-pub(super) struct Request {
-    owner: (Key, u64),
-    pub(super) command: Held,
-    pub(super) link: Option<Key>,
-    attempts: u16,
-    pub(super) finished: bool,
+/// Connections to one server that are idle, the latest used last.
+#[derive(Default)]
+pub(super) struct Pool {
+    pub(super) idle: Vec<Key>,
+    /// When bytes of it last arrived.
+    pub(super) heard: Duration,
 }
 
-/// Requests, attempts, servers and counter around the module.
+/// The engine with the sockets that carry out what it wants.
 pub struct Core {
-    gateway: Gateway,
-    pub(super) events: VecDeque<Event>,
-    actions: Vec<Action>,
-    answers: Vec<((Key, u64), Answer)>,
-    pub(super) requests: Slots<Request>,
-    held: usize,
+    pub(super) life: Life,
+    answers: Vec<(Owner, Answer)>,
     pub(super) links: Slots<Link>,
-    pub(super) fleet: Fleet,
+    pub(super) pools: HashMap<ServerId, Pool>,
+    /// Idle connections to servers by the time of their last use: what goes first is found without a scan.
+    pub(super) idle: BTreeSet<(Duration, Key)>,
     pub(super) counter: Option<Counter>,
     pub(super) watch: Watch,
     zones: Vec<String>,
-    pub(super) clock: Clock,
+    clock: Clock,
     timer: Option<Duration>,
-    /// Idle connections to servers by the time of their last use: what goes first is found without a scan.
-    pub(super) idle: BTreeSet<(Duration, Key)>,
 }
 
 impl Core {
     /// Starts with the list that this ingress last held.
     pub fn new(start: Start, known: &List, io: &mut Io) -> Result<Core, SettingsError> {
         let mut settings = start.settings;
-        // One outstanding attempt a request, whatever the platform would allow.
-        settings.limits.duplicates = false;
         // The settings' time-out is the simulator's, where a call that is late is never answered. On sockets the
         // total comes however late, and a late one still tells what the others use: guards against throwing
         // away the totals of a counter that is merely slow. How long a request waits is the module's choice.
@@ -105,21 +77,18 @@
         if counter.is_none() {
             settings.counter = None;
         }
+        let bounds = Bounds { requests: io.limits.requests, bytes: io.limits.held_bytes };
         let mut core = Core {
-            gateway: Gateway::new(settings, start.seed)?,
-            events: VecDeque::new(),
-            actions: Vec::new(),
+            life: Engine::new(settings, start.seed, bounds)?,
             answers: Vec::new(),
-            requests: Slots::default(),
-            held: 0,
             links: Slots::default(),
-            fleet: Fleet::default(),
+            pools: HashMap::new(),
+            idle: BTreeSet::new(),
             counter,
             watch: Watch::new(start.discovery),
             zones: start.zones,
             clock: start.clock,
             timer: None,
-            idle: BTreeSet::new(),
         };
         core.take_list(known, io);
         core.watch_open(io);
@@ -133,7 +102,7 @@
             self.watch_open(io);
         }
         match (&mut self.counter, counter) {
-            (Some(held), Some(address)) => held.move_to(address, io, &mut self.events),
+            (Some(held), Some(address)) => held.move_to(address, io, &mut self.life),
             (None, None) => {}
             _ => tracing::warn!(
                 event = "reload.counter",
@@ -149,12 +118,12 @@
 
     /// Version of the list of servers held.
     pub fn list_version(&self) -> u64 {
-        self.fleet.rev
+        self.life.fleet().rev
     }
 
     /// Requests without a final answer or with an attempt out.
     pub fn open_requests(&self) -> usize {
-        self.requests.len()
+        self.life.open()
     }
 
     /// Connections to servers.
@@ -163,63 +132,44 @@
     }
 
     /// Takes a request in; none if no more can be held, and it is to be refused.
-    pub fn submit(&mut self, ask: Ask, io: &Io) -> Option<Key> {
-        let bytes = ask.command.len();
-        if self.requests.len() >= io.limits.requests || self.held + bytes > io.limits.held_bytes {
-            return None;
-        }
-        self.held += bytes;
-        let (owner, command) = (ask.owner, ask.command);
-        let key = self.requests.insert_with(|_| Request {
-            owner,
-            command,
-            link: None,
-            attempts: 0,
-            finished: false,
-        });
-        self.events.push_back(Event::Request(NewRequest {
-            request: RequestId(key.pack()),
-            class: ask.class,
-            plan: ask.plan,
-            customer: ask.customer,
-            units: ask.units,
-            spread: ask.spread,
-            time_left: ask.time_left,
-        }));
-        Some(key)
+    pub fn submit(&mut self, ask: Ask) -> Option<Key> {
+        self.life.submit(ask).ok()
     }
 
     /// The client of a request has left.
     pub fn abandon(&mut self, key: Key) {
-        if let Some(request) = self.requests.get_mut(key).filter(|r| !r.finished) {
-            request.finished = true;
-            self.events.push_back(Event::ClientGone(RequestId(key.pack())));
-        }
+        self.life.abandon(key);
     }
 
     /// Answers given since the last call.
-    pub fn take_answers(&mut self, into: &mut Vec<((Key, u64), Answer)>) {
+    pub fn take_answers(&mut self, into: &mut Vec<(Owner, Answer)>) {
         into.append(&mut self.answers);
     }
 
-    /// Does the module have news to hear?
+    /// Is there news that the module has not heard?
     pub fn has_news(&self) -> bool {
-        !self.events.is_empty()
+        self.life.has_news()
     }
 
     /// The module's timer has come due.
     pub fn on_timer(&mut self) {
         self.timer = None;
-        self.events.push_back(Event::Timer(TimerTag(0)));
+        self.life.on_due();
     }
 
     pub(super) fn take_list(&mut self, list: &List, io: &mut Io) {
-        let change = self.fleet.apply(list, &self.zones, &self.clock);
-        for key in change.stale {
-            self.close_link(key, io);
+        let (stale, bad) = self.life.take_list(list, &self.zones, |ms| self.clock.from_unix_ms(ms));
+        for server in stale {
+            let idle = self.pools.get_mut(&server).map(|p| std::mem::take(&mut p.idle)).unwrap_or_default();
+            for key in idle {
+                self.close_link(key, io);
+            }
+            if self.life.fleet().get(server).is_none() {
+                self.pools.remove(&server);
+            }
         }
-        if change.bad > 0 {
-            let (bad, rev) = (change.bad, list.rev);
+        let (rev, ready) = (list.rev, self.life.fleet().ready());
+        if bad > 0 {
             tracing::warn!(
                 event = "discovery.entries",
                 bad,
@@ -227,81 +177,33 @@
                 "discovery: {bad} entries of rev {rev} unreadable"
             );
         }
-        let (rev, ready) = (list.rev, self.fleet.ready());
         tracing::info!(event = "discovery.list", rev, ready, "discovery: rev {rev}, {ready} servers ready");
-        self.events.push_back(Event::Servers(change.update));
     }
 
-    /// Tells the module all that has happened and carries out what it wants, until there is no more.
+    /// Carries out all that is to be done, until there is no more.
     pub fn run(&mut self, io: &mut Io) {
-        while let Some(event) = self.events.pop_front() {
-            let ended = match &event {
-                Event::ClientGone(id) => Some(*id),
-                Event::AttemptEnded(end) => Some(end.request),
-                _ => None,
-            };
-            let mut actions = std::mem::take(&mut self.actions);
-            self.gateway.handle(io.now, event, &mut actions);
-            for action in actions.drain(..) {
-                self.perform(action, io);
-            }
-            self.actions = actions;
-            if let Some(id) = ended {
-                self.forget(id);
+        while let Some(output) = self.life.poll(io.now) {
+            match output {
+                Output::Send { request, attempt, server, give_up } => {
+                    self.send(request, attempt, server, give_up, io);
+                }
+                Output::Cancel { request, attempt } => self.cancel(request, attempt, io),
+                Output::Answer { owner, answer } => self.answers.push((owner, answer)),
+                Output::Count { name, add, lifetime } => match &mut self.counter {
+                    Some(counter) => counter.call(name, add, lifetime, io, &mut self.life),
+                    None => self.life.counted(name, CountResult::NotAdded, Duration::ZERO),
+                },
+                Output::Probe { server } => self.probe(server, io),
+                // The watch is always open or being opened.
+                Output::FetchList => {}
+                Output::Log(text) => tracing::info!(event = "module", "module: {text}"),
             }
         }
-        if let Some(counter) = &mut self.counter {
-            counter.flush(io, &mut self.events);
+        if self.life.due() != self.timer {
+            io.deadlines.set(&mut self.timer, self.life.due(), Party::Module);
         }
-    }
-
-    fn perform(&mut self, action: Action, io: &mut Io) {
-        match action {
-            Action::Send { request, server, give_up_at } => self.send(request, server, give_up_at, io),
-            Action::Refuse { request, retry_in } => self.answer(request, Answer::Refused(retry_in)),
-            Action::Fail { request } => self.answer(request, Answer::Failed),
-            Action::Cancel { request, attempt } => self.cancel(request, attempt, io),
-            Action::Count { name, add, lifetime } => match &mut self.counter {
-                Some(counter) => counter.call(name, add, lifetime, io, &mut self.events),
-                None => self.events.push_back(Event::Counted {
-                    name,
-                    result: CountResult::NotAdded,
-                    elapsed: Duration::ZERO,
-                }),
-            },
-            // Timers cannot be taken back, and the module sets a new one when the earliest fires.
-            Action::SetTimer { after, .. } => {
-                let at = self.timer.map_or(io.now + after, |t| t.min(io.now + after));
-                io.deadlines.set(&mut self.timer, Some(at), Party::Module);
-            }
-            Action::Probe { server } => self.probe(server, io),
-            // The watch is always open or being opened.
-            Action::Subscribe | Action::FetchList => {}
-            Action::Log(text) => tracing::info!(event = "module", "module: {text}"),
-        }
-    }
-
-    /// Gives a request its final answer, once.
-    pub(super) fn answer(&mut self, id: RequestId, answer: Answer) {
-        let Some(request) = self.requests.get_mut(Key::unpack(id.0)).filter(|r| !r.finished) else { return };
-        request.finished = true;
-        self.answers.push((request.owner, answer));
-        self.forget(id);
-    }
-
-    /// Drops a request that is answered and has no attempt out.
-    fn forget(&mut self, id: RequestId) {
-        let key = Key::unpack(id.0);
-        if self.requests.get(key).is_some_and(|r| r.finished && r.link.is_none()) {
-            if let Some(request) = self.requests.remove(key) {
-                self.held -= request.command.len();
-            }
+        if let Some(counter) = &mut self.counter {
+            counter.flush(io, &mut self.life);
         }
     }
-
-    pub(super) fn next_attempt(&mut self, id: RequestId) -> Option<u16> {
-        let request = self.requests.get_mut(Key::unpack(id.0))?;
-        request.attempts += 1;
-        Some(request.attempts - 1)
-    }
 }
--- a/ingress/src/routing/counter.rs
+++ b/ingress/src/routing/counter.rs
@@ -1,11 +1,12 @@
 //! Calls to the counter: pipelined on a few connections, each name always on the same one, so that its
 //! answers come in the order of the calls.
 
+use super::core::Life;
 use super::{Io, Party};
 use crate::limits::Limits;
 use crate::protocol::http;
 use crate::transport::{connect, Fill, Ready, Stream};
-use roseyard::{CountName, CountResult, Event};
+use roseyard::{CountName, CountResult};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -52,19 +53,18 @@
 }
 
 impl Wire {
-    fn tell(call: &Call, result: CountResult, now: Duration, events: &mut VecDeque<Event>) {
-        let elapsed = now.saturating_sub(call.made);
-        events.push_back(Event::Counted { name: call.name, result, elapsed });
+    fn tell(call: &Call, result: CountResult, now: Duration, life: &mut Life) {
+        life.counted(call.name, result, now.saturating_sub(call.made));
     }
 
     /// The connection is of no more use: each call on it ends, in order.
-    fn fail(&mut self, now: Duration, again: Duration, events: &mut VecDeque<Event>) {
+    fn fail(&mut self, now: Duration, again: Duration, life: &mut Life) {
         let unwritten = self.stream.take().map_or(0, |s| s.unwritten() as u64);
         let written = self.put - unwritten;
         for call in self.calls.drain(..).skip(self.late) {
             let sent = call.end.is_some_and(|end| end <= written);
             let result = if sent { CountResult::Unknown } else { CountResult::NotAdded };
-            Wire::tell(&call, result, now, events);
+            Wire::tell(&call, result, now, life);
         }
         (self.late, self.put, self.up, self.dirty, self.part) = (0, 0, false, false, None);
         self.retry = now + again;
@@ -110,14 +110,7 @@
     }
 
     /// Makes a call. It ends in an event, at once if the counter cannot be reached just now.
-    pub fn call(
-        &mut self,
-        name: CountName,
-        add: f64,
-        keep: Duration,
-        io: &mut Io,
-        events: &mut VecDeque<Event>,
-    ) {
+    pub fn call(&mut self, name: CountName, add: f64, keep: Duration, io: &mut Io, life: &mut Life) {
         // Spreads names evenly, whatever they look like.
         let mixed = name.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
         let n = mixed as usize % self.wires.len();
@@ -126,14 +119,14 @@
         // Guards against a counter that refuses: no call waits for one that was just not there.
         let closed = wire.stream.is_none() && io.now < wire.retry;
         if closed || wire.calls.len() >= io.limits.counter_calls || !add.is_finite() {
-            return Wire::tell(&call, CountResult::NotAdded, io.now, events);
+            return Wire::tell(&call, CountResult::NotAdded, io.now, life);
         }
         wire.calls.push_back(call);
-        self.open(n, io, events);
+        self.open(n, io, life);
     }
 
     /// Opens a connection for the calls that wait, and puts on it what may be put.
-    fn open(&mut self, n: usize, io: &mut Io, events: &mut VecDeque<Event>) {
+    fn open(&mut self, n: usize, io: &mut Io, life: &mut Life) {
         let wire = &mut self.wires[n];
         if wire.stream.is_none() && !wire.calls.is_empty() {
             (wire.heard, wire.up, wire.epoch) = (io.now, false, self.epoch);
@@ -145,7 +138,7 @@
             });
             match opened {
                 Ok(stream) => wire.stream = Some(stream),
-                Err(_) => wire.fail(io.now, io.limits.counter_again, events),
+                Err(_) => wire.fail(io.now, io.limits.counter_again, life),
             }
         }
         wire.put_calls(&self.host, self.epoch, io.now);
@@ -154,7 +147,7 @@
 
     /// The counter is at another address now. Calls that were put on an old connection are still awaited
     /// there; those that follow wait for them, as answers for a name must come in the order of its calls.
-    pub fn move_to(&mut self, address: SocketAddr, io: &mut Io, events: &mut VecDeque<Event>) {
+    pub fn move_to(&mut self, address: SocketAddr, io: &mut Io, life: &mut Life) {
         if address == self.address {
             return;
         }
@@ -162,12 +155,12 @@
         self.epoch += 1;
         for n in 0..self.wires.len() {
             self.wires[n].retry = Duration::ZERO;
-            self.move_on(n, io, events);
+            self.move_on(n, io, life);
         }
     }
 
     /// Leaves an old address once nothing is awaited there.
-    fn move_on(&mut self, n: usize, io: &mut Io, events: &mut VecDeque<Event>) {
+    fn move_on(&mut self, n: usize, io: &mut Io, life: &mut Life) {
         let wire = &mut self.wires[n];
         if wire.stream.is_none() || wire.epoch == self.epoch || wire.untold() {
             return;
@@ -175,31 +168,25 @@
         wire.stream = None;
         wire.calls.drain(..wire.late);
         (wire.late, wire.put, wire.up, wire.dirty, wire.part) = (0, 0, false, false, None);
-        self.open(n, io, events);
+        self.open(n, io, life);
     }
 
     /// Writes all calls of this round.
-    pub fn flush(&mut self, io: &mut Io, events: &mut VecDeque<Event>) {
+    pub fn flush(&mut self, io: &mut Io, life: &mut Life) {
         for n in 0..self.wires.len() {
             let wire = &mut self.wires[n];
             if !std::mem::take(&mut wire.dirty) {
                 continue;
             }
             if wire.stream.as_mut().is_some_and(|s| s.flush().is_err()) {
-                wire.fail(io.now, io.limits.counter_again, events);
+                wire.fail(io.now, io.limits.counter_again, life);
                 wire.arm(n, self.timeout, io);
             }
         }
     }
 
     /// A connection is ready.
-    pub fn on_ready(
-        &mut self,
-        (n, serial): (u16, u32),
-        ready: Ready,
-        io: &mut Io,
-        events: &mut VecDeque<Event>,
-    ) {
+    pub fn on_ready(&mut self, (n, serial): (u16, u32), ready: Ready, io: &mut Io, life: &mut Life) {
         let n = usize::from(n);
         let Some(wire) = self.wires.get_mut(n).filter(|w| w.serial == serial) else { return };
         let Some(stream) = &mut wire.stream else { return };
@@ -214,7 +201,7 @@
         }
         let Some(stream) = wire.stream.as_mut().filter(|_| wire.up && good) else {
             if !good {
-                wire.fail(io.now, io.limits.counter_again, events);
+                wire.fail(io.now, io.limits.counter_again, life);
                 wire.arm(n, self.timeout, io);
             }
             return;
@@ -223,7 +210,7 @@
         good = stream.flush().is_ok();
         if good && ready.readable {
             let filled = stream.fill(io.limits.list_bytes, io.limits.chunk_bytes, ready.ended);
-            spoilt = !self.take_answers(n, io, events);
+            spoilt = !self.take_answers(n, io, life);
             good = !spoilt && matches!(filled, Fill::Drained | Fill::Limited);
         }
         let wire = &mut self.wires[n];
@@ -231,14 +218,14 @@
             // An idle connection that the counter closed, or one that it spoilt, says nothing about the counter.
             let again =
                 if spoilt || wire.calls.is_empty() { Duration::ZERO } else { io.limits.counter_again };
-            wire.fail(io.now, again, events);
+            wire.fail(io.now, again, life);
         }
         wire.arm(n, self.timeout, io);
-        self.move_on(n, io, events);
+        self.move_on(n, io, life);
     }
 
     /// Matches answers to calls, oldest first. False if the connection is of no more use.
-    fn take_answers(&mut self, n: usize, io: &Io, events: &mut VecDeque<Event>) -> bool {
+    fn take_answers(&mut self, n: usize, io: &Io, life: &mut Life) -> bool {
         let wire = &mut self.wires[n];
         let Some(stream) = &mut wire.stream else { return false };
         loop {
@@ -265,7 +252,7 @@
             if wire.late > 0 {
                 wire.late -= 1;
             } else {
-                Wire::tell(&call, result, io.now, events);
+                Wire::tell(&call, result, io.now, life);
             }
             // An answer that is none may be out of step with what follows: guards against reading the next
             // call's total out of its rest.
@@ -276,17 +263,17 @@
     }
 
     /// A deadline of a connection has come.
-    pub fn on_due(&mut self, n: u16, io: &mut Io, events: &mut VecDeque<Event>) {
+    pub fn on_due(&mut self, n: u16, io: &mut Io, life: &mut Life) {
         let n = usize::from(n);
         let Some(wire) = self.wires.get_mut(n) else { return };
         wire.due = None;
         while let Some(call) = wire.calls.get(wire.late).filter(|c| c.made + self.timeout <= io.now) {
             if call.end.is_some() {
-                Wire::tell(call, CountResult::Unknown, io.now, events);
+                Wire::tell(call, CountResult::Unknown, io.now, life);
                 wire.late += 1;
             } else {
                 // Never put on a connection: nothing was added, and nothing will be.
-                Wire::tell(call, CountResult::NotAdded, io.now, events);
+                Wire::tell(call, CountResult::NotAdded, io.now, life);
                 wire.calls.remove(wire.late);
             }
         }
@@ -299,10 +286,10 @@
         // Guards against an answer that is shorter than it says: all calls behind it would wait in vain.
         let torn = wire.part.is_some_and(|since| since + io.limits.counter_part <= io.now);
         if silent || idle || never || torn {
-            wire.fail(io.now, Duration::ZERO, events);
+            wire.fail(io.now, Duration::ZERO, life);
         }
         wire.arm(n, self.timeout, io);
-        self.move_on(n, io, events);
+        self.move_on(n, io, life);
     }
 }
 
@@ -310,14 +297,14 @@
     /// A connection to the counter is ready.
     pub fn on_counter(&mut self, wire: (u16, u32), ready: Ready, io: &mut Io) {
         if let Some(counter) = &mut self.counter {
-            counter.on_ready(wire, ready, io, &mut self.events);
+            counter.on_ready(wire, ready, io, &mut self.life);
         }
     }
 
     /// A counter connection's deadline has come.
     pub fn on_counter_due(&mut self, n: u16, io: &mut Io) {
         if let Some(counter) = &mut self.counter {
-            counter.on_due(n, io, &mut self.events);
+            counter.on_due(n, io, &mut self.life);
         }
     }
 }
--- a/ingress/src/routing/discovery.rs
+++ b/ingress/src/routing/discovery.rs
@@ -109,7 +109,7 @@
         watch.stream = opened.ok();
         let wait = if watch.stream.is_some() { io.limits.list_first } else { io.limits.list_again };
         if let Some(stream) = &mut watch.stream {
-            http::put_watch(stream.output(), &watch.address.to_string(), self.fleet.rev);
+            http::put_watch(stream.output(), &watch.address.to_string(), self.life.fleet().rev);
         }
         io.deadlines.set(&mut watch.due, Some(io.now + wait), Party::Watch(0));
     }
@@ -148,7 +148,7 @@
     pub fn on_watch_due(&mut self, io: &mut Io) {
         self.watch.due = None;
         if self.watch.stream.take().is_some() {
-            let rev = self.fleet.rev;
+            let rev = self.life.fleet().rev;
             tracing::warn!(
                 event = "discovery.silent",
                 rev,
--- a/ingress/src/routing/front.rs
+++ b/ingress/src/routing/front.rs
@@ -557,7 +557,7 @@
                 Ok(Command::Request(ask, id)) => {
                     let customer = ask.customer.0;
                     let refused = tell(Event::Asked { conn: name, customer }, io);
-                    match refused.map_or_else(|| core.submit(ask, io).ok_or(io.limits.busy_again), Err) {
+                    match refused.map_or_else(|| core.submit(ask).ok_or(io.limits.busy_again), Err) {
                         Ok(request) => {
                             self.open.insert(id);
                             client.pending.push_back(Pending::Waiting(request, id));
@@ -733,7 +733,9 @@
     if r.wait_ms <= 0.0 {
         return Err("d out of range");
     }
+    let command = Held::new(words, &r);
     let ask = Ask {
+        bytes: command.len(),
         owner,
         class,
         plan,
@@ -741,7 +743,7 @@
         units: r.units,
         spread: r.spread,
         time_left: Duration::from_secs_f64((r.wait_ms / 1000.0).min(3600.0)),
-        command: Held::new(words, &r),
+        command,
     };
     Ok((ask, r.id))
 }
--- a/ingress/src/routing/mod.rs
+++ b/ingress/src/routing/mod.rs
@@ -1,4 +1,4 @@
-//! Drives the module: what comes from sockets becomes its events, its actions become writes.
+//! Drives the engine: what comes from sockets is told to it, what it hands over becomes writes.
 //!
 //! [`Core`] knows customers, classes and plans, not the platform's words for them: a front hands it an
 //! [`Ask`] and is handed the [`Answer`]. [`front`] is the platform's.
@@ -8,10 +8,9 @@
 mod counter;
 mod discovery;
 mod doors;
-mod fleet;
 pub mod front;
 
-pub use self::core::{Answer, Ask, Core, Start};
+pub use self::core::{Answer, Ask, Core, Life, Start};
 pub use front::Front;
 
 use crate::limits::Limits;
--- a/ingress/src/transport/mod.rs
+++ b/ingress/src/transport/mod.rs
@@ -2,10 +2,9 @@
 
 pub mod deadlines;
 pub mod poller;
-pub mod slots;
 pub mod stream;
 
 pub use deadlines::Deadlines;
 pub use poller::{Poller, Ready};
-pub use slots::{Key, Slots};
+pub use roseyard_engine::{Key, Slots};
 pub use stream::{accept, allowed, connect, is_fd_shortage, listen, listening_at, spare, Fill, Stream};
