--- a/admission/src/policy.rs
+++ b/admission/src/policy.rs
@@ -70,7 +70,7 @@
             places,
             reserve: places / 8,
             silent_room: (places / 2).max(1),
-            once_room: (places / 11).max(1),
+            once_room: (places * 3 / 10).max(1),
             by_address: false,
             per_client: None,
             per_neighbourhood: None,
