Make one piece of what stood twice in admission's carrying out, file reading and recall

The action loop stood three times in the front, the deadline of standing three times, a descriptor with room made for it twice, recall once for each book; check and explain read the file without the bound of 1 MiB that run has; Budget had items that nobody used; two pages of the engine said that it looks at moved servers, which the owner of the connection does.

Change: carry_out, Keeper::arm, Core::take_descriptor, one put, File::load; unused items are gone; the docs say what is so. A send to a server without an address, which the check before it rules out, would now end as moot instead of staying open.

--- a/admission/src/book.rs
+++ b/admission/src/book.rs
@@ -236,7 +236,7 @@
     #[test]
     fn who_has_a_connection_open_is_not_forgotten_and_all_are_bounded() {
         let mut book = Book::new(4, (3, 4));
-        let open: Vec<u32> = (0..10u64).map(|key| book.place(key)).inspect(|_| {}).collect();
+        let open: Vec<u32> = (0..10u64).map(|key| book.place(key)).collect();
         assert_eq!(book.len(), 4);
         let last = *open.last().unwrap();
         book.opened(last);
--- a/admission/src/budget.rs
+++ b/admission/src/budget.rs
@@ -26,21 +26,6 @@
 pub const USES: [Use; 7] =
     [Use::Fixed, Use::Clients, Use::Links, Use::Counter, Use::Discovery, Use::Files, Use::Spare];
 
-impl Use {
-    /// Its word in settings and logs.
-    pub fn word(self) -> &'static str {
-        match self {
-            Use::Fixed => "fixed",
-            Use::Clients => "clients",
-            Use::Links => "links",
-            Use::Counter => "counter",
-            Use::Discovery => "discovery",
-            Use::Files => "files",
-            Use::Spare => "spare",
-        }
-    }
-}
-
 /// What a use may hold.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Share {
@@ -78,11 +63,6 @@
         Ok(Budget { total, shares, used: [0; USES.len()] })
     }
 
-    /// Descriptors in all.
-    pub fn total(&self) -> usize {
-        self.total
-    }
-
     /// What a use may hold.
     pub fn share(&self, of: Use) -> Share {
         self.shares[of as usize]
@@ -93,11 +73,6 @@
         self.used[of as usize]
     }
 
-    /// Has this use borrowed from what others leave unused?
-    pub fn borrowed(&self, of: Use) -> usize {
-        self.used(of).saturating_sub(self.share(of).least)
-    }
-
     /// Could one more be taken for this use?
     pub fn has_room(&self, of: Use) -> bool {
         let (share, used) = (self.share(of), self.used(of));
--- a/admission/src/gate.rs
+++ b/admission/src/gate.rs
@@ -6,6 +6,7 @@
 use crate::policy::Policy;
 use crate::rate::Arrival;
 use crate::snapshot::{Remembered, Snapshot};
+use std::hash::Hash;
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -289,7 +290,7 @@
             Event::Greeted(conn) => self.change(conn, |p| p.asked = p.asked.saturating_add(1)),
             Event::Wrong(conn) => {
                 self.change(conn, |p| p.faults = p.faults.saturating_add(1));
-                self.fault(conn, 1.0, now);
+                self.fault(conn, now);
             }
             Event::Answered { conn, served: true } => self.serve(now, conn),
             Event::Answered { served: false, .. } => {}
@@ -300,7 +301,7 @@
             }
             Event::Closed { conn, fault } => {
                 if fault {
-                    self.fault(conn, 1.0, now);
+                    self.fault(conn, now);
                 }
                 self.remove(conn, now);
             }
@@ -358,24 +359,19 @@
 
     /// Takes a snapshot in that was made so long ago.
     pub fn recall(&mut self, snapshot: &Snapshot, age: Duration, now: Duration) {
-        let half_life = self.policy.known_half_life;
-        let after = self.policy.known_after;
-        let now_worth = |served: f32| {
-            let faded = Score::new(served.clamp(0.0, 1e6), Duration::ZERO).at(age, half_life);
-            (Score::new(faded, now), faded >= after)
-        };
+        let Policy { known_half_life: half_life, known_after: after, .. } = self.policy;
+        let faded = |served: f32| Score::new(served.clamp(0.0, 1e6), Duration::ZERO).at(age, half_life);
+        fn put<K: Hash + Eq + Copy>(book: &mut Book<K>, key: K, served: f32, after: f32, now: Duration) {
+            let at = book.place(key);
+            book.get_mut(at).served = Score::new(served, now);
+            book.rest(at, served >= after);
+        }
         // The latest stand first: they are put in last, as the latest.
         for held in snapshot.clients.iter().rev() {
-            let (score, known) = now_worth(held.served);
-            let at = self.clients.place(held.key);
-            self.clients.get_mut(at).served = score;
-            self.clients.rest(at, known);
+            put(&mut self.clients, held.key, faded(held.served), after, now);
         }
         for held in snapshot.customers.iter().rev() {
-            let (score, known) = now_worth(held.served);
-            let at = self.customers.place(held.key);
-            self.customers.get_mut(at).served = score;
-            self.customers.rest(at, known);
+            put(&mut self.customers, held.key, faded(held.served), after, now);
         }
     }
 
@@ -613,10 +609,10 @@
     }
 
     /// Something speaks against the address of a connection.
-    fn fault(&mut self, conn: Conn, much: f32, now: Duration) {
+    fn fault(&mut self, conn: Conn, now: Duration) {
         let half_life = self.policy.suspect_half_life;
         if let Some(at) = self.place(conn).and_then(|p| p.client) {
-            self.clients.get_mut(at).faults.add(much, now, half_life);
+            self.clients.get_mut(at).faults.add(1.0, now, half_life);
         }
     }
 
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -243,7 +243,7 @@
     }
 
     /// May the first byte of this attempt be written to its server now? Guards against sends to a server that
-    /// drains, is gone or has moved, for a request that is over, and too late, also after a wait for a connection.
+    /// drains or is gone, for a request that is over, and too late, also after a wait for a connection.
     pub fn may_write(&self, request: Key, attempt: u16, give_up: Duration, now: Duration) -> bool {
         let Some(held) = self.requests.get(request).filter(|r| !r.finished) else { return false };
         held.out.is_some_and(|o| o.attempt == attempt && self.takes_work(o.server)) && now < give_up
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -6,8 +6,9 @@
 //! the daemon does so on epoll. The rules that hold for all of them stand here:
 //!
 //! - one attempt of a request at a time, and an end is taken once, by the attempt's number;
-//! - nothing is written to a server that drains, is gone or has moved, for a request that is over, or too late
-//!   ([`Engine::may_write`]);
+//! - nothing is written to a server that drains or is gone, for a request that is over, or too late
+//!   ([`Engine::may_write`]); whether the connection at hand still leads to [`Engine::address`] is for its owner to
+//!   see;
 //! - a request has exactly one final answer, also when its owner leaves and when the engine is stopped.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
--- a/ingress/src/program/cli.rs
+++ b/ingress/src/program/cli.rs
@@ -106,10 +106,8 @@
 /// The settings of a file, or its mistakes drawn with their lines.
 fn checked(path: Option<&Path>, machine: &Machine) -> Result<Vec<Row>, String> {
     let Some(path) = path else { return File::none().explain(machine).map_err(|e| e.report()) };
-    let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}"))?;
-    let rows = File::parse(&name, &text).and_then(|file| file.explain(machine));
-    rows.map_err(|wrong| format!("{name}: {} mistakes\n{}", wrong.iter().count(), wrong.report()))
+    let rows = File::load(path)?.and_then(|file| file.explain(machine));
+    rows.map_err(|wrong| format!("{}: {} mistakes\n{}", path.display(), wrong.iter().count(), wrong.report()))
 }
 
 fn table(rows: &[Row]) -> String {
--- a/ingress/src/program/mod.rs
+++ b/ingress/src/program/mod.rs
@@ -142,8 +142,7 @@
         let at = io.now + io.limits.ready;
         io.deadlines.set(&mut ready_due, Some(at), Party::Ready);
         let mut standing_due = None;
-        let at = keeper.every().map(|every| io.now + every);
-        io.deadlines.set(&mut standing_due, at, Party::Standing);
+        keeper.arm(&mut standing_due, &mut io);
         Ok(Program {
             machine,
             keeper,
@@ -188,8 +187,7 @@
                 }
                 self.front.set_policy(operator.policy, io);
                 self.keeper.set(operator.standing);
-                let at = self.keeper.every().map(|every| io.now + every);
-                io.deadlines.set(&mut self.standing_due, at, Party::Standing);
+                self.keeper.arm(&mut self.standing_due, io);
                 let counter = config.counter.map_or_else(|| "none".to_owned(), |c| c.to_string());
                 let discovery = config.discovery;
                 tracing::info!(
@@ -327,10 +325,8 @@
 
     fn on_standing_due(&mut self) {
         self.standing_due = None;
-        let io = &mut self.io;
-        self.keeper.write(self.front.gate(), io.now);
-        let at = self.keeper.every().map(|every| io.now + every);
-        io.deadlines.set(&mut self.standing_due, at, Party::Standing);
+        self.keeper.write(self.front.gate(), self.io.now);
+        self.keeper.arm(&mut self.standing_due, &mut self.io);
     }
 
     /// All is done: what is known of clients is kept for the next start.
--- a/ingress/src/program/standing.rs
+++ b/ingress/src/program/standing.rs
@@ -1,5 +1,6 @@
 //! Keeps standing over a restart: reads the file at the start, writes it on a schedule and at the end.
 
+use crate::routing::{Io, Party};
 use roseyard_admission::{Gate, Snapshot};
 use roseyard_operator::Standing;
 use std::fs;
@@ -75,9 +76,10 @@
         self.settings = settings;
     }
 
-    /// How often the file is written; none if nothing is kept.
-    pub fn every(&self) -> Option<Duration> {
-        self.settings.file.as_ref().map(|_| self.settings.every)
+    /// Sets when the file is written next; never if nothing is kept.
+    pub fn arm(&self, due: &mut Option<Duration>, io: &mut Io) {
+        let at = self.settings.file.as_ref().map(|_| io.now + self.settings.every);
+        io.deadlines.set(due, at, Party::Standing);
     }
 
     /// Writes the file, unless the last writing still goes on.
--- a/ingress/src/routing/attempts.rs
+++ b/ingress/src/routing/attempts.rs
@@ -144,12 +144,12 @@
         if let Some(key) = self.rested(server, io) {
             return self.write(key, job, io);
         }
-        if !(io.budget.take(Use::Links) || self.evict_idle(io) && io.budget.take(Use::Links)) {
-            return self.ended(job, server, End::of(Outcome::ConnectFailed), io.now);
-        }
         let Some(address) = self.life.address(server) else {
-            return io.budget.give(Use::Links);
+            return self.ended(job, server, End::of(Outcome::Moot), io.now);
         };
+        if !self.take_descriptor(Use::Links, io) {
+            return self.ended(job, server, End::of(Outcome::ConnectFailed), io.now);
+        }
         let mut opened = connect(&address, io.limits.chunk_bytes);
         // Guards against running out of descriptors: an idle connection elsewhere makes room, or the spare one.
         if matches!(&opened, Err(e) if is_fd_shortage(*e))
@@ -192,6 +192,11 @@
         }
     }
 
+    /// Takes a descriptor for this use; an idle connection to a server makes room if there is none.
+    pub(super) fn take_descriptor(&mut self, of: Use, io: &mut Io) -> bool {
+        io.budget.take(of) || self.evict_idle(io) && io.budget.take(of)
+    }
+
     /// Closes the idle connection that was used longest ago.
     pub(super) fn evict_idle(&mut self, io: &mut Io) -> bool {
         let Some((_, key)) = self.idle.first().copied() else { return false };
--- a/ingress/src/routing/doors.rs
+++ b/ingress/src/routing/doors.rs
@@ -32,8 +32,9 @@
     paused: Option<Duration>,
     /// Room for what is to be done, kept from event to event.
     actions: Vec<Action>,
-    /// What was told last of [`Gate::counts`], and when that is told again.
+    /// What was told last of [`Gate::counts`] and [`Gate::refused`].
     told: ([u64; REASONS.len()], u64),
+    /// When that is told again.
     report: Option<Duration>,
 }
 
--- a/ingress/src/routing/front.rs
+++ b/ingress/src/routing/front.rs
@@ -210,6 +210,13 @@
     Some(client)
 }
 
+/// Closes a connection that admission has named. Whom it turns away or refuses is seen to where that was asked.
+fn carry_out(action: Action, clients: &mut Slots<Client>, held: &mut usize, io: &mut Io) {
+    if let Action::Close { conn, .. } = action {
+        close(Key::unpack(conn.0), clients, held, io);
+    }
+}
+
 fn answer_bytes(answer: Answer) -> Vec<u8> {
     match answer {
         Answer::Served(value) => {
@@ -303,11 +310,8 @@
         let event = Event::Connected { conn: conn(key), peer };
         let (doors, clients, held) = (&mut self.doors, &mut self.clients, &mut self.held);
         doors.tell(event, io, |action, io| match action {
-            Action::Close { conn, .. } => {
-                close(Key::unpack(conn.0), clients, held, io);
-            }
             Action::TurnAway { after, .. } => away = Some(after),
-            Action::Refuse { .. } | Action::Pause { .. } => {}
+            _ => carry_out(action, clients, held, io),
         });
         if let Some(after) = away {
             if let Some(client) = self.clients.remove(key) {
@@ -316,7 +320,7 @@
             return;
         }
         // Servers may have borrowed the descriptor that this place stands for.
-        if !(io.budget.take(Use::Clients) || core.evict_idle(io) && io.budget.take(Use::Clients)) {
+        if !core.take_descriptor(Use::Clients, io) {
             self.doors.tell(Event::Closed { conn: conn(key), fault: false }, io, |_, _| ());
             if let Some(client) = self.clients.remove(key) {
                 turn_away(client.stream, self.doors.gate.policy().advice);
@@ -340,19 +344,13 @@
     /// Tells admission, and closes what is to be closed.
     fn tell(&mut self, event: Event, io: &mut Io) {
         let (doors, clients, held) = (&mut self.doors, &mut self.clients, &mut self.held);
-        doors.tell(event, io, |action, io| {
-            if let Action::Close { conn, .. } = action {
-                close(Key::unpack(conn.0), clients, held, io);
-            }
-        });
+        doors.tell(event, io, |action, io| carry_out(action, clients, held, io));
     }
 
     /// Admission goes by other settings from now on.
     pub fn set_policy(&mut self, policy: Policy, io: &mut Io) {
         for action in self.doors.set_policy(policy, io) {
-            if let Action::Close { conn, .. } = action {
-                close(Key::unpack(conn.0), &mut self.clients, &mut self.held, io);
-            }
+            carry_out(action, &mut self.clients, &mut self.held, io);
         }
     }
 
--- a/operator/src/file.rs
+++ b/operator/src/file.rs
@@ -26,14 +26,19 @@
         File { source: Arc::new(NamedSource::new("defaults", String::new())), given: BTreeMap::new() }
     }
 
-    /// Reads and checks a file.
+    /// Reads and checks a file; what is wrong with it is said on one line.
     pub fn read(path: &Path) -> Result<File, String> {
+        File::load(path)?.map_err(|wrong| wrong.to_string())
+    }
+
+    /// Reads and checks a file. The outer error says why it cannot be read at all.
+    pub fn load(path: &Path) -> Result<Result<File, Mistakes>, String> {
         let named = |e: std::io::Error| format!("{}: {e}", path.display());
         if std::fs::metadata(path).map_err(named)?.len() > MOST_BYTES {
             return Err(format!("{}: longer than 1 MiB", path.display()));
         }
         let text = std::fs::read_to_string(path).map_err(named)?;
-        File::parse(&path.display().to_string(), &text).map_err(|wrong| wrong.to_string())
+        Ok(File::parse(&path.display().to_string(), &text))
     }
 
     /// Checks a file's text. All mistakes are found at once.
