Draw among servers by their size where many ingresses share them

With a few requests a second at each ingress nearly every server has nothing out from here, so `pick` compared sizes alone, and its random 2% never bridged 1.5 against 2.0. The large half ran at two to four times its share, answers took 0.3 to 0.9 s in place of 0.15, and the load bound then refused 10,200 of 36,600 decisions. Ruled out: the load bound as the first cause (it follows lateness that is real), connections (no refusals by the platform's descriptors).

Up to four ingresses nothing changes. From there the least of exponential draws decides more and more, so that each server gets its part by size, and what this ingress knows of one (its own sends, faults, slowness) weighs twice. A failure is kept in mind for about two of this ingress's visits: seconds alone forget it before the next.

--- a/src/control.rs
+++ b/src/control.rs
@@ -44,6 +44,7 @@
 /// Share of the aim that the mean answer may take before new work is refused: at half about one in ten is
 /// late.
 const LOAD_OF_AIM: f64 = 0.4;
+const SEEN_BY: f64 = 4.0; // Up to so many gateways, what each has out itself tells the load of servers.
 const LEAST_OUT: f64 = 2.0; // Out per server, over all gateways, that is never too many: its cores stay idle.
 /// The classes that earn least for their work stop at this share of the bound, at up to half while answers
 /// come well before LOAD_OF_AIM: on quiet days nobody need go first.
@@ -57,6 +58,7 @@
 /// A failure that came back at once weighs as this many requests held, fading over these seconds.
 const FAULT_LOAD: f64 = 3.0;
 const FAULT_TAU: f64 = 4.0;
+const FAULT_VISITS: f64 = 2.0;
 /// How much each opening of a connection counts in their mean; from this share refused on, a server that
 /// never answered here is taken to refuse too. One of them is tried again each TRIAL_AFTER.
 const DOOR_SHARE: f64 = 0.3;
@@ -641,6 +643,8 @@
         let safe = self.settings.classes[r.class].effect == Effect::Safe;
         let may_try = safe && r.attempts.is_empty() && self.settings.limits.duplicates;
         let eject = self.ejects();
+        let fault_tau = self.fault_tau();
+        let unseen = 1.0 - (SEEN_BY / f64::from(self.settings.gateways.max(1))).min(1.0);
         let fading = |s: &Server| (s.load, ((s.told - t) / REPORT_TAU).exp());
         let told = self.servers.values().filter(|s| s.ready && s.told > 0.0).map(fading);
         let (sum, weights) = told.fold((0.0, EPS), |(a, b), (load, w)| (a + load * w, b + w));
@@ -662,13 +666,18 @@
             if warmth < 1.0 && s.sends.len() as f64 + s.lot >= most {
                 continue;
             }
-            let faults = FAULT_LOAD * s.faults * (-(t - s.fault_at) / FAULT_TAU).exp();
+            let faults = FAULT_LOAD * s.faults * (-(t - s.fault_at) / fault_tau).exp();
             let (load, weight) = fading(s);
             let load = usual + (load - usual) * weight;
             let work = 1.0 + s.out.len() as f64 + REPORT_WEIGHT * load + faults;
             let size = s.weight * warmth;
             let cross = if s.zone == self.settings.zone { 1.0 } else { 1.02 };
             let score = work * s.slowness / size * cross * (1.0 + 0.02 * self.rng.f64());
+            // Few gateways know nearly all that is out and go by it. Of many each sees next to nothing: all
+            // would hold the same large servers best. The least of exponential draws falls to each by its
+            // size; what little is known of one weighs twice.
+            let draw = if unseen > 0.0 { -(1.0 - self.rng.f64()).ln() } else { 1.0 };
+            let score = score * (work * s.slowness * draw.max(EPS)).powf(unseen);
             // Second choice, but once in a while the first, to learn whether it takes us again.
             let shut = match s.door {
                 Door::Open => false,
@@ -747,8 +756,17 @@
         self.refuse(id, out);
     }
 
+    /// A failure fades over some seconds, and not before this gateway would come by again a few times: where
+    /// it comes by rarely, each failure would be forgotten by the next request there.
+    fn fault_tau(&self) -> f64 {
+        let ready = || self.servers.values().filter(|s| s.ready);
+        let (servers, sends) = ready().fold((0.0, 0.0), |(n, sum), s| (n + 1.0, sum + s.sends.len() as f64));
+        let span = secs(self.settings.guarantees.tip_after).max(0.5);
+        (FAULT_VISITS * span * servers / f64::max(sends, 1.0)).clamp(FAULT_TAU, FORGET_AFTER)
+    }
+
     fn learn(&mut self, server: ServerId, class: usize, e: &AttemptEnd, t: f64) {
-        let eject = self.ejects();
+        let (eject, fault_tau) = (self.ejects(), self.fault_tau());
         let Some(s) = self.servers.get_mut(&server) else { return };
         let (outcome, took) = (e.outcome, secs(e.elapsed));
         s.out.remove(&(e.request, e.attempt));
@@ -773,7 +791,7 @@
         let lost = outcome == Outcome::Timeout && s.heard <= t - took && t - took >= self.flow.resumed;
         if lost || matches!(outcome, Outcome::Error | Outcome::Full | Outcome::ConnectFailed | Outcome::Reset)
         {
-            (s.faults, s.fault_at) = (s.faults * ((s.fault_at - t) / FAULT_TAU).exp() + 1.0, t);
+            (s.faults, s.fault_at) = (s.faults * ((s.fault_at - t) / fault_tau).exp() + 1.0, t);
         }
         let aim = secs(self.settings.classes[class].aim);
         let stalled = t - took < self.flow.resumed;
--- a/tests/size_of_fleet.rs
+++ b/tests/size_of_fleet.rs
@@ -119,3 +119,31 @@
     }
     assert!(w.lowest_ceiling < 30.0, "the customer used its ceiling");
 }
+
+/// Entries of a fleet in which every second server is a quarter smaller.
+fn two_sizes(servers: u32) -> Vec<ServerEntry> {
+    let size = |n: u32| if n.is_multiple_of(2) { 2.0 } else { 1.5 };
+    (0..servers).map(|n| ServerEntry { weight: size(n), ..entry(n, ServerState::Ready, None) }).collect()
+}
+
+#[test]
+fn small_servers_carry_their_share_where_each_gateway_has_little_out() {
+    let mut w = World::new(settings(100), 100, 60);
+    for g in 0..100 {
+        w.tell(g, Event::Servers(ListUpdate::Full(two_sizes(60))));
+    }
+    for round in 0..60 {
+        for g in 0..100 {
+            w.request(g, 0, 2, (round * 100 + g) as u64);
+        }
+        w.count_all(CountMode::Answered);
+        rest(&mut w, 100);
+    }
+    let mut got = [0.0; 60];
+    w.sends.iter().for_each(|s| got[s.1 as usize] += 1.0);
+    let (all, sizes) = (got.iter().sum::<f64>(), 30.0 * 3.5);
+    for (n, got) in got.iter().enumerate() {
+        let fair = all * if n.is_multiple_of(2) { 2.0 } else { 1.5 } / sizes;
+        assert!((0.6..1.5).contains(&(got / fair)), "server {n}: {got} of a fair {fair:.0}");
+    }
+}
