Keep each ingress of many to an aperture of the servers, and probe only for what is used

An ingress with 4 attempts a second comes to each of 60 servers every 15 s, as long as a link may rest. The probes' reports hold `cpu_share` alone, which `on_load` does not read: they told nothing. Ruled out: links lost to the platform (0 closed as idle).

An ingress takes an arc of 12 servers of a ring in hash order (src/aperture.rs): arcs begin at multiples of the golden ratio, so that any row of neighbouring ingresses, as customers' sets are, covers all servers. Servers beyond it weigh a hundredth and serve when those inside fail. Up to four ingresses take all servers as before. Reports that say nothing of what a server holds earn no probes; silent servers are probed 8 times a second by all together. An own number outside the tier, or no gateways, is an error at the start.

--- a/benchlink/src/host.rs
+++ b/benchlink/src/host.rs
@@ -63,6 +63,7 @@
         cell: e.stripe,
         state,
         weight: f64::from(e.heft),
+        rank: u64::from(e.worker).wrapping_mul(0x9e37_79b9_7f4a_7c15),
         started_at: (e.started_at_ms > 0.0).then(|| ms(e.started_at_ms)),
     })
 }
--- a/engine/src/fleet.rs
+++ b/engine/src/fleet.rs
@@ -29,6 +29,11 @@
     pub rev: u64,
 }
 
+/// FNV-1a: the same at every ingress, whatever order it heard of the servers in.
+fn rank(uid: &str) -> u64 {
+    uid.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
 /// What a list changed.
 pub(crate) struct Change {
     /// For the module.
@@ -129,6 +134,7 @@
             cell: target.pod_group,
             state,
             weight: target.capacity_hint,
+            rank: rank(&target.uid),
             started_at: started,
         };
         let known = self.servers.get(&id).map(|s| s.address);
--- a/engine/tests/model.rs
+++ b/engine/tests/model.rs
@@ -33,6 +33,7 @@
     let keyed = Effect::Keyed { group: DedupGroup::Cell, window: WINDOW };
     Settings {
         gateways: 2,
+        number: 0,
         zone: 0,
         tick: ms(1),
         classes: vec![class(Effect::Safe), class(keyed), class(Effect::Unsafe)],
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -21,6 +21,7 @@
     #[serde(default)]
     failure_domains: Vec<String>,
     granularity_ms: f64,
+    me: u32,
     guarantees: WireGuarantees,
     report: Report,
     tiers_of_service: Vec<WirePlan>,
@@ -221,13 +222,16 @@
         };
         let settings = Settings {
             gateways: o.balancers,
+            number: o.me,
             zone: o.az,
             tick: ms(o.granularity_ms),
             classes: o.classes.iter().map(class).collect::<Result<_, _>>()?,
             plans: o.tiers_of_service.iter().map(plan).collect(),
             counter,
             meter_period: (o.domain.metering_ms > 0.0).then(|| ms(o.domain.metering_ms)),
-            reports_on_probe: o.report.via == "on_probe",
+            // What a server's cores do says nothing of what it holds: such reports are worth no probe.
+            reports_on_probe: o.report.via == "on_probe"
+                && o.report.fields.iter().any(|f| f == "busy_reqs" || f == "pending"),
             discovery,
             limits: Limits {
                 max_attempts: o.ceilings.max_attempts,
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,6 +4,7 @@
 //! comes back is held against the allowance (`on_counted`, `Ledger::settle`); what passes goes to the server
 //! that promises most (`decided`, `pick`). Everything else guards that path. Times inside are seconds.
 
+use crate::aperture;
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -45,6 +46,7 @@
 /// late.
 const LOAD_OF_AIM: f64 = 0.4;
 const SEEN_BY: f64 = 4.0; // Up to so many gateways, what each has out itself tells the load of servers.
+const OUTSIDE: f64 = 0.01; // Servers beyond this gateway's aperture are tried where those inside fail.
 const LEAST_OUT: f64 = 2.0; // Out per server, over all gateways, that is never too many: its cores stay idle.
 /// The classes that earn least for their work stop at this share of the bound, at up to half while answers
 /// come well before LOAD_OF_AIM: on quiet days nobody need go first.
@@ -71,6 +73,7 @@
 /// Least time between probes of a server, and those earned by each request: all gateways probe as they work.
 const PROBE_EVERY: f64 = 1.0;
 const PROBE_EARN: f64 = 0.2;
+const PROBES_BORNE: f64 = 8.0; // A second at each server, of all gateways together.
 const SUBSCRIBE_AGAIN: f64 = 1.0; // Discovery is asked again so long after a call that failed.
 const FORGET_AFTER: f64 = 30.0; // Idle ledgers are dropped: many customers come just once.
 const STALL: f64 = 0.25; // A gap so long between events (the sweep comes every 0.05 s) is our own stall.
@@ -262,6 +265,8 @@
     cell: u16,
     ready: bool,
     weight: f64,
+    rank: u64,
+    part: f64, // Of it, that lies in this gateway's aperture.
     started: Option<f64>,
     out: BTreeMap<(RequestId, u16), (f64, usize)>, // Attempts out: (request, attempt) to (sent, class).
     heard: f64,
@@ -670,7 +675,7 @@
             let (load, weight) = fading(s);
             let load = usual + (load - usual) * weight;
             let work = 1.0 + s.out.len() as f64 + REPORT_WEIGHT * load + faults;
-            let size = s.weight * warmth;
+            let size = s.weight * warmth * s.part.max(OUTSIDE);
             let cross = if s.zone == self.settings.zone { 1.0 } else { 1.02 };
             let score = work * s.slowness / size * cross * (1.0 + 0.02 * self.rng.f64());
             // Few gateways know nearly all that is out and go by it. Of many each sees next to nothing: all
@@ -760,7 +765,8 @@
     /// it comes by rarely, each failure would be forgotten by the next request there.
     fn fault_tau(&self) -> f64 {
         let ready = || self.servers.values().filter(|s| s.ready);
-        let (servers, sends) = ready().fold((0.0, 0.0), |(n, sum), s| (n + 1.0, sum + s.sends.len() as f64));
+        let (servers, sends) =
+            ready().fold((0.0, 0.0), |(n, sum), s| (n + s.part, sum + s.sends.len() as f64));
         let span = secs(self.settings.guarantees.tip_after).max(0.5);
         (FAULT_VISITS * span * servers / f64::max(sends, 1.0)).clamp(FAULT_TAU, FORGET_AFTER)
     }
@@ -956,7 +962,8 @@
             }
         }
         let any = self.settings.reports_on_probe;
-        let wanted = |s: &Server| s.ready && (s.silent || any) && t >= s.probed + PROBE_EVERY;
+        let every = PROBE_EVERY.max(f64::from(self.settings.gateways) / PROBES_BORNE);
+        let wanted = |s: &Server| s.ready && (s.silent || any) && t >= s.probed + every;
         while self.settings.limits.probes && self.flow.probes >= 1.0 {
             let oldest = self.servers.iter_mut().filter(|(_, s)| wanted(s));
             let Some((&id, s)) = oldest.min_by(|a, b| a.1.probed.total_cmp(&b.1.probed)) else { break };
@@ -989,8 +996,13 @@
                 (s.started, s.silent, s.slowness, s.heard) = (started, false, 1.0, t);
                 s.door = Door::Untried;
             }
-            (s.zone, s.cell, s.ready) = (e.zone, e.cell, e.state == ServerState::Ready);
+            (s.zone, s.cell, s.rank, s.ready) = (e.zone, e.cell, e.rank, e.state == ServerState::Ready);
             s.weight = if e.weight.is_finite() && e.weight > 0.0 { e.weight.max(0.05) } else { 1.0 };
         }
+        let mut ring: Vec<_> = self.servers.values_mut().filter(|s| s.ready).collect();
+        ring.sort_by_key(|s| s.rank);
+        let sizes: Vec<f64> = ring.iter().map(|s| s.weight).collect();
+        let parts = aperture::parts(self.settings.number, self.settings.gateways, &sizes);
+        ring.iter_mut().zip(parts).for_each(|(s, part)| s.part = part);
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -147,6 +147,8 @@
 pub struct Settings {
     /// Number of gateways in this tier.
     pub gateways: u32,
+    /// This gateway's number among them, from 0.
+    pub number: u32,
     /// The zone of this gateway.
     pub zone: u16,
     /// Shortest time between two rounds of events.
@@ -159,7 +161,7 @@
     pub counter: Option<Counter>,
     /// Period of the meter, if any.
     pub meter_period: Option<Duration>,
-    /// Do load reports come with probes alone?
+    /// Do load reports that say what a server holds come with probes alone?
     pub reports_on_probe: bool,
     /// Discovery mode.
     pub discovery: Discovery,
@@ -179,6 +181,9 @@
         };
         let timed = |c: &Class| good(c.worth) && good(c.late_worth) && !c.aim.is_zero();
         let g = &self.guarantees;
+        if self.number >= self.gateways {
+            return Err(SettingsError::BadNumber("the number of gateways, or this one's among them,"));
+        }
         if self.classes.is_empty() {
             return Err(SettingsError::NoClass);
         }
@@ -236,6 +241,8 @@
     pub state: ServerState,
     /// Size relative to the others.
     pub weight: f64,
+    /// Its place in an order that is the same at every gateway, such as a hash of its name.
+    pub rank: u64,
     /// Its latest start; none means long ago.
     pub started_at: Option<Duration>,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,7 +9,7 @@
 //!
 //! let ms = Duration::from_millis;
 //! let settings = Settings {
-//!     gateways: 2, zone: 0, tick: ms(1),
+//!     gateways: 2, number: 0, zone: 0, tick: ms(1),
 //!     classes: vec![Class { aim: ms(500), aim_stretch: 0.0, deadline: ms(2000), worth: 1.0, late_worth: 0.0,
 //!         effect: Effect::Safe, streamed: false }],
 //!     plans: vec![Plan { rate: 5.0, burst: 10.0, max_open: 0, ceiling_rate: 0.0, ceiling_burst: 0.0,
@@ -23,7 +23,7 @@
 //! };
 //! let mut gateway = Gateway::new(settings, 7)?;
 //! let mut actions = Vec::new();
-//! let server = ServerEntry { server: ServerId(1), zone: 0, cell: 0, state: ServerState::Ready, weight: 1.0,
+//! let server = ServerEntry { server: ServerId(1), zone: 0, cell: 0, state: ServerState::Ready, weight: 1.0, rank: 1,
 //!     started_at: None };
 //! gateway.handle(ms(0), Event::Servers(ListUpdate::Full(vec![server])), &mut actions);
 //! gateway.handle(ms(1), Event::Request(NewRequest { request: RequestId(1), class: 0, plan: 0,
@@ -39,6 +39,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod aperture;
 mod control;
 mod interface;
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -44,6 +44,7 @@
     let keyed = |group| class(Effect::Keyed { group, window: ms(400) });
     Settings {
         gateways,
+        number: 0,
         zone: 0,
         tick: ms(1),
         classes: vec![
@@ -76,7 +77,15 @@
 }
 
 pub fn entry(id: u32, state: ServerState, started_at: Option<Duration>) -> ServerEntry {
-    ServerEntry { server: ServerId(id), zone: 0, cell: (id % 2) as u16, state, weight: 1.0, started_at }
+    ServerEntry {
+        server: ServerId(id),
+        zone: 0,
+        cell: (id % 2) as u16,
+        state,
+        weight: 1.0,
+        rank: u64::from(id),
+        started_at,
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -132,7 +141,9 @@
 
 impl World {
     pub fn new(settings: Settings, gateways: usize, servers: u32) -> World {
-        let gates = (0..gateways).map(|g| Gateway::new(settings.clone(), g as u64).unwrap()).collect();
+        let gates = (0..gateways)
+            .map(|g| Gateway::new(Settings { number: g as u32, ..settings.clone() }, g as u64).unwrap())
+            .collect();
         let mut w = World {
             now: ms(1000),
             settings,
@@ -159,7 +170,8 @@
 
     /// A gateway is killed and starts again with no memory.
     pub fn restart(&mut self, g: usize, servers: u32) {
-        self.gateways[g] = Gateway::new(self.settings.clone(), 99 + g as u64).unwrap();
+        self.gateways[g] =
+            Gateway::new(Settings { number: g as u32, ..self.settings.clone() }, 99 + g as u64).unwrap();
         self.requests.retain(|(gate, _), _| *gate != g);
         self.counts.retain(|c| c.gateway != g);
         self.timers.retain(|_, gate| *gate != g);
--- a/tests/size_of_fleet.rs
+++ b/tests/size_of_fleet.rs
@@ -147,3 +147,32 @@
         assert!((0.6..1.5).contains(&(got / fair)), "server {n}: {got} of a fair {fair:.0}");
     }
 }
+
+#[test]
+fn a_gateway_of_many_comes_back_to_a_few_servers_and_leaves_them_when_they_fail() {
+    let mut w = World::new(settings(100), 100, 60);
+    let flow = |w: &mut World, bad: &dyn Fn(u32) -> bool| {
+        let from = w.sends.len();
+        for round in 0..40 {
+            w.request(7, 0, 2, round);
+            w.count_all(CountMode::Answered);
+            let (_, server, _) = *w.sends.last().unwrap();
+            w.advance(ms(100));
+            w.end(0, if bad(server) { Outcome::ConnectFailed } else { Outcome::Ok });
+            rest(w, 0);
+        }
+        w.sends[from..].iter().map(|s| s.1).collect::<std::collections::BTreeSet<_>>()
+    };
+    let usual = flow(&mut w, &|_| false);
+    assert!((8..=16).contains(&usual.len()), "{usual:?}");
+    let others = flow(&mut w, &|s| usual.contains(&s));
+    assert!(others.iter().any(|s| !usual.contains(s)), "an aperture that fails is left: {others:?}");
+}
+
+#[test]
+fn a_number_that_no_gateway_has_is_an_error() {
+    for (gateways, number) in [(0, 0), (3, 3)] {
+        let wrong = Gateway::new(Settings { number, ..settings(gateways) }, 1).err().unwrap();
+        assert!(wrong.to_string().contains("number of gateways"), "{wrong}");
+    }
+}
