Give cold servers their part of what goes out by warmth, over all ingresses together

Cause: `pick` bounded a cold server by the mean of warm ones' sends from here, over all of the list, though an ingress's aperture holds a fifth of them; and with no warm one listed nothing bounded it.

A cold server now gets at most half the rule's multiple of its part, by aperture and warmth, of all that goes out from here, and where most are cold at most 0.8 of the multiple of what would fall to it if all were warm. An ingress that has sent nothing counts what idle servers bear from all ingresses together.

Tests: 100 ingresses, 36 or all of 60 servers cold, sums over the fleet.

--- a/src/control.rs
+++ b/src/control.rs
@@ -46,6 +46,7 @@
 /// late.
 const LOAD_OF_AIM: f64 = 0.4;
 const SEEN_BY: f64 = 4.0; // Up to so many gateways, what each has out itself tells the load of servers.
+const TIP_USED: f64 = 0.8; // Of the multiple that a cold server bears.
 const OUTSIDE: f64 = 0.01; // Servers beyond this gateway's aperture are tried where those inside fail.
 const LEAST_OUT: f64 = 2.0; // Out per server, over all gateways, that is never too many: its cores stay idle.
 /// The classes that earn least for their work stop at this share of the bound, at up to half while answers
@@ -642,9 +643,21 @@
     fn pick(&mut self, id: RequestId, t: f64) -> Option<ServerId> {
         let r = self.requests.get(&id)?;
         let guarantees = &self.settings.guarantees;
-        let warm = || self.servers.values().filter(|s| s.ready && !s.silent && self.warmth(s, t) >= 1.0);
-        let (warm, sent) = warm().fold((0.0, 0), |(n, sum), s| (n + 1.0, sum + s.sends.len()));
-        let warm_sends = if warm > 0.0 { sent as f64 / warm } else { f64::MAX };
+        // Rule 4: within its span a cold server gets at most half the multiple of its part of what goes out
+        // from here, by aperture and warmth; and, where most are cold, of what would fall to it were all
+        // warm, which it can carry then. Nothing sent yet: as much as idle servers bear from all of us.
+        let live = self.servers.values().filter(|s| s.ready && !s.silent);
+        let (mut full, mut warm, mut sent, mut servers) = (EPS, EPS, 0.0, 0.0);
+        for s in live {
+            let size = s.part.max(OUTSIDE);
+            (full, warm, servers) = (full + size, warm + size * self.warmth(s, t), servers + 1.0);
+            sent += s.sends.len() as f64;
+        }
+        let usual = self.means[r.class].max(secs(self.settings.classes[r.class].aim) / 8.0);
+        let idle = LEAST_OUT * servers * secs(guarantees.tip_after) / usual;
+        let sent = f64::max(sent, idle / f64::from(self.settings.gateways));
+        let multiple = guarantees.tip_multiple.max(1.0);
+        let share = sent * (0.5 * multiple / warm).min(TIP_USED * multiple / full);
         let safe = self.settings.classes[r.class].effect == Effect::Safe;
         let may_try = safe && r.attempts.is_empty() && self.settings.limits.duplicates;
         let eject = self.ejects();
@@ -664,10 +677,9 @@
                 trial = trial.or(Some(server).filter(|_| may_try && t >= s.trial_at));
                 continue;
             }
-            // Rule 4: within the rule's span a cold server gets at most its present share, times half the
-            // multiple, of what warm ones get from here. A fraction is drawn: hundreds of ones push it over.
+            // A fraction is drawn: hundreds of ones push a cold server over.
             let warmth = self.warmth(s, t);
-            let most = warmth * (guarantees.tip_multiple / 2.0).max(0.5) * warm_sends;
+            let most = warmth * share * s.part.max(OUTSIDE);
             if warmth < 1.0 && s.sends.len() as f64 + s.lot >= most {
                 continue;
             }
