Name this ingress's number in the settings that tests and the lab start with

The platform always gives it; a missing one stays an error, as ingresses that all took number 0 would share one arc.

All tests of the workspace pass.

--- a/benchlink/tests/wire.rs
+++ b/benchlink/tests/wire.rs
@@ -30,7 +30,7 @@
     r
 }
 
-const OPTIONS: &str = r#"{"Az":0,"Balancers":1,"Unknown":[1],"Ceilings":{"Cancel":true,"MaxAttempts":3,
+const OPTIONS: &str = r#"{"Az":0,"Balancers":1,"Me":0,"Unknown":[1],"Ceilings":{"Cancel":true,"MaxAttempts":3,
 "MaxRetryAfterMs":500.0,"MayDuplicate":true,"Probes":false,"RetryAfter":true},"Classes":[{"DeadlineMs":2000.0,
 "Effect":"read_like","Group":"all","LateWorth":0.0,"Stream":false,"TargetMs":500.0,"WindowMs":0.0,"Worth":1.0}],
 "Discovery":"automatic","Domain":{"CounterTimeoutMs":50.0,"MeteringMs":0.0,"SharedCounter":false},
