Back off with jitter from a discovery that turns calls away, by the number of ingresses

Cause: `on_watch` set the next call at `list_again`, 200 ms in every ingress, without backoff: 100 of them call up to 500 times a second for as long as they are turned away.

The wait now doubles with each call that brought no line, less up to half at random, up to 30 ms for each ingress of the tier and 3 s at most.

--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -77,8 +77,10 @@
     /// And after this on a new call, which it answers at once: whatever it has to tell counts as told some
     /// seconds later, heard or not.
     pub list_first: Duration,
-    /// Discovery is called again after this.
+    /// Discovery is called again after this, ...
     pub list_again: Duration,
+    /// ... twice as long after each call that failed again, up to this, less up to half of it at random.
+    pub list_again_most: Duration,
     /// `PING` is answered by then even if discovery says nothing.
     pub ready: Duration,
     /// Accepting is tried again after this when descriptors ran out.
@@ -141,6 +143,9 @@
             list_silence: ms(3000),
             list_first: ms(1000),
             list_again: ms(200),
+            // All ingresses together call some forty times a second; what discovery has to tell counts as told
+            // after 6 s, heard or not.
+            list_again_most: ms(30 * u64::from(options.ingresses())).clamp(ms(200), ms(3000)),
             ready: ms(1000),
             accept_again: ms(20),
             client_stall: ms(10_000),
--- a/ingress/src/routing/core.rs
+++ b/ingress/src/routing/core.rs
@@ -85,7 +85,7 @@
             pools: HashMap::new(),
             idle: BTreeSet::new(),
             counter,
-            watch: Watch::new(start.discovery),
+            watch: Watch::new(start.discovery, start.seed),
             zones: start.zones,
             clock: start.clock,
             timer: None,
--- a/ingress/src/routing/discovery.rs
+++ b/ingress/src/routing/discovery.rs
@@ -2,6 +2,7 @@
 
 use super::core::Core;
 use super::{Io, Party};
+use crate::limits::Limits;
 use crate::protocol::http::{self, Body};
 use crate::protocol::list;
 use crate::transport::{connect, Fill, Ready, Stream};
@@ -18,11 +19,14 @@
     streaming: bool,
     line: Vec<u8>,
     due: Option<Duration>,
+    /// Calls in a row that brought no line.
+    failed: u32,
+    rng: fastrand::Rng,
     pub(super) told: bool,
 }
 
 impl Watch {
-    pub fn new(address: SocketAddr) -> Watch {
+    pub fn new(address: SocketAddr, seed: u64) -> Watch {
         Watch {
             address,
             stream: None,
@@ -31,6 +35,8 @@
             streaming: false,
             line: Vec::new(),
             due: None,
+            failed: 0,
+            rng: fastrand::Rng::with_seed(seed),
             told: false,
         }
     }
@@ -39,9 +45,18 @@
     pub fn move_to(&mut self, address: SocketAddr) -> bool {
         let moved = self.address != address;
         self.address = address;
+        self.failed = 0;
         moved
     }
 
+    /// How long to wait before the next call: guards against many ingresses that keep an overbooked discovery
+    /// overbooked by calling again at the same pace, and in step.
+    fn back_off(&mut self, limits: &Limits) -> Duration {
+        let longest = limits.list_again.saturating_mul(1 << self.failed.min(10)).min(limits.list_again_most);
+        self.failed += 1;
+        longest.mul_f64(1.0 - self.rng.f64() / 2.0)
+    }
+
     /// Reads on; whole lines go to `lines`. An error says why the watch is of no more use.
     fn read(&mut self, ready: Ready, io: &Io, lines: &mut Vec<Vec<u8>>) -> Result<(), &'static str> {
         let limits = &io.limits;
@@ -107,7 +122,7 @@
             Ok(s)
         });
         watch.stream = opened.ok();
-        let wait = if watch.stream.is_some() { io.limits.list_first } else { io.limits.list_again };
+        let wait = if watch.stream.is_some() { io.limits.list_first } else { watch.back_off(&io.limits) };
         if let Some(stream) = &mut watch.stream {
             http::put_watch(stream.output(), &watch.address.to_string(), self.life.fleet().rev);
         }
@@ -123,6 +138,7 @@
         let state = self.watch.read(ready, io, &mut lines);
         for mut line in lines {
             io.deadlines.set(&mut self.watch.due, Some(io.now + io.limits.list_silence), Party::Watch(0));
+            self.watch.failed = 0;
             if line.trim_ascii().is_empty() {
                 self.watch.told = true;
                 continue;
@@ -140,7 +156,8 @@
         if let Err(why) = state {
             tracing::warn!(event = "discovery.broke", why, "discovery: {why}; calling again");
             self.watch.stream = None;
-            io.deadlines.set(&mut self.watch.due, Some(io.now + io.limits.list_again), Party::Watch(0));
+            let again = io.now + self.watch.back_off(&io.limits);
+            io.deadlines.set(&mut self.watch.due, Some(again), Party::Watch(0));
         }
     }
 
@@ -158,3 +175,41 @@
         self.watch_open(io);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use roseyard_operator::{Effective, Machine};
+    use roseyard_settings::Options;
+
+    /// Calls that `ingresses` make in ten seconds to a discovery that turns each away at once, and how many of them
+    /// fall into the fullest 20 ms of the last second.
+    fn calls(ingresses: u32) -> (usize, usize) {
+        let text = include_str!("../../tests/settings.json");
+        let text = text.replace("\"Balancers\":1,", &format!("\"Balancers\":{ingresses},"));
+        let options = Options::parse(text.as_bytes()).unwrap();
+        let limits = Limits::new(&Effective::new(&Machine { sockets: 1024, allowed: 1024 }), 192, &options);
+        let mut at = Vec::new();
+        for n in 0..ingresses {
+            let mut watch = Watch::new("127.0.0.1:1".parse().unwrap(), u64::from(n));
+            let mut now = Duration::ZERO;
+            while now < Duration::from_secs(10) {
+                at.push(now.as_millis() / 20);
+                let wait = watch.back_off(&limits);
+                assert!(wait <= Duration::from_secs(3), "no longer than what is told may stay unheard");
+                now += wait;
+            }
+        }
+        let fullest = (450..500).map(|slot| at.iter().filter(|a| **a == slot).count()).max();
+        (at.len(), fullest.unwrap())
+    }
+
+    #[test]
+    fn a_hundred_ingresses_do_not_keep_an_overbooked_discovery_overbooked() {
+        let (all, fullest) = calls(100);
+        assert!(all <= 900, "{all} calls in 10 s; at a fixed 200 ms it is 5,000");
+        assert!(fullest <= 10, "{fullest} calls within 20 ms: out of step");
+        let (few, _) = calls(2);
+        assert!(few >= 100, "{few} calls of two ingresses, which hear soon after a short loss");
+    }
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -185,6 +185,11 @@
         Some(self.domain.most_units).filter(|n| *n > 0.0)
     }
 
+    /// Ingresses in this tier.
+    pub fn ingresses(&self) -> u32 {
+        self.balancers
+    }
+
     /// The longest time that a client waits.
     pub fn longest_deadline(&self) -> Duration {
         self.classes.iter().map(|c| ms(c.deadline_ms)).max().unwrap_or_default()
