--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -13,7 +13,7 @@
             "TargetMs": 1000.0, "WindowMs": 8000.0, "LateWorth": 0.2, "Worth": 1.0})
     };
     json!({
-        "Az": 0, "Balancers":1,"Me":0, "Me": 0, "Tier": 0, "Family": "gate", "Weights": "nominal",
+        "Az": 0, "Balancers": 1, "Me": 0, "Tier": 0, "Family": "gate", "Weights": "nominal",
         "GranularityMs": 2.0, "Discovery": "automatic", "Stages": ["form-servers"],
         "FailureDomains": ["lab"], "Kinds": ["std"],
         "Ceilings": {"Cancel": true, "ConnIdleMs": 15000.0, "ConnectTimeoutMs": 250.0, "CpuUsPerRequest": 0.0,
