Walk no servers for an answer that weighs no fault; one piece for what stood twice

`learn` worked out how long faults last, a walk over all servers, for each end of an attempt, though an answer has no fault to weigh: now only for the other ends. The span of remembered sends and a server's part with its floor are each said once. `max(1)` on the number of gateways is gone, since settings without any are an error. The first wait of the backoff bounds its longest by name. Tests: one place makes the limits of unit tests and one the gateways of the scripted fleet; no assertion changed.

--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -107,6 +107,7 @@
         let ms = Duration::from_millis;
         let memory = memory_mb.max(32) << 20;
         let longest = options.longest_deadline();
+        let list_again = ms(200);
         Limits {
             value_bytes: 64 << 10,
             line_bytes: 8 << 10,
@@ -142,10 +143,10 @@
             counter_again: ms(100),
             list_silence: ms(3000),
             list_first: ms(1000),
-            list_again: ms(200),
+            list_again,
             // All ingresses together call some forty times a second; what discovery has to tell counts as told
             // after 6 s, heard or not.
-            list_again_most: ms(30 * u64::from(options.ingresses())).clamp(ms(200), ms(3000)),
+            list_again_most: ms(30 * u64::from(options.ingresses())).clamp(list_again, ms(3000)),
             ready: ms(1000),
             accept_again: ms(20),
             client_stall: ms(10_000),
@@ -158,3 +159,14 @@
         }
     }
 }
+
+#[cfg(test)]
+impl Limits {
+    /// Those of an ordinary machine under the tests' settings, in a tier of so many ingresses.
+    pub(crate) fn of_test(ingresses: u32) -> Limits {
+        let settings = include_str!("../tests/settings.json");
+        let settings = settings.replace("\"Balancers\":1,", &format!("\"Balancers\":{ingresses},"));
+        let operator = Effective::new(&roseyard_operator::Machine { sockets: 1024, allowed: 1024 });
+        Limits::new(&operator, 192, &Options::parse(settings.as_bytes()).unwrap())
+    }
+}
--- a/ingress/src/protocol/http.rs
+++ b/ingress/src/protocol/http.rs
@@ -124,15 +124,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use roseyard_operator::{Effective, Machine};
-    use roseyard_settings::Options;
 
     fn limits() -> Limits {
-        {
-            let operator = Effective::new(&Machine { sockets: 1024, allowed: 1024 });
-            let options = Options::parse(include_bytes!("../../tests/settings.json")).unwrap();
-            Limits::new(&operator, 192, &options)
-        }
+        Limits::of_test(1)
     }
 
     fn parsed(text: &str) -> Result<Option<(u16, String, bool, usize)>, Malformed> {
--- a/ingress/src/routing/discovery.rs
+++ b/ingress/src/routing/discovery.rs
@@ -179,16 +179,11 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use roseyard_operator::{Effective, Machine};
-    use roseyard_settings::Options;
 
-    /// Calls that `ingresses` make in ten seconds to a discovery that turns each away at once, and how many of them
-    /// fall into the fullest 20 ms of the last second.
+    /// Calls that `ingresses` make in ten seconds to a discovery that turns each away at once, and how many of
+    /// them fall into the fullest 20 ms of the last second.
     fn calls(ingresses: u32) -> (usize, usize) {
-        let text = include_str!("../../tests/settings.json");
-        let text = text.replace("\"Balancers\":1,", &format!("\"Balancers\":{ingresses},"));
-        let options = Options::parse(text.as_bytes()).unwrap();
-        let limits = Limits::new(&Effective::new(&Machine { sockets: 1024, allowed: 1024 }), 192, &options);
+        let limits = Limits::of_test(ingresses);
         let mut at = Vec::new();
         for n in 0..ingresses {
             let mut watch = Watch::new("127.0.0.1:1".parse().unwrap(), u64::from(n));
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -21,8 +21,8 @@
     #[serde(default)]
     failure_domains: Vec<String>,
     granularity_ms: f64,
-    me: u32,
     guarantees: WireGuarantees,
+    me: u32,
     report: Report,
     tiers_of_service: Vec<WirePlan>,
 }
--- a/src/aperture.rs
+++ b/src/aperture.rs
@@ -14,7 +14,7 @@
 /// The part, 0 to 1, of each server that lies on the arc of gateway `me` of `gateways`; sizes in ring order.
 pub(crate) fn parts(me: u32, gateways: u32, sizes: &[f64]) -> Vec<f64> {
     let (n, total) = (sizes.len() as f64, sizes.iter().sum::<f64>());
-    let arc = total * (LEAST_SERVERS.max(LEAST_OVER * n / f64::from(gateways.max(1))) / n.max(1.0));
+    let arc = total * (LEAST_SERVERS.max(LEAST_OVER * n / f64::from(gateways)) / n.max(1.0));
     if arc >= total {
         return vec![1.0; sizes.len()];
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -429,7 +429,7 @@
         self.requests.insert(r.request, request);
         self.alarm(end, Alarm::End(r.request));
         let plan = &self.settings.plans[r.plan];
-        let spread = f64::from(r.spread.clamp(1, self.settings.gateways.max(1)));
+        let spread = f64::from(r.spread.clamp(1, self.settings.gateways));
         let counted = self.settings.counter.is_some() && (plan.rate > 0.0 || plan.ceiling_rate > 0.0);
         let of = (r.plan, self.passed[r.plan]);
         let ledger =
@@ -586,7 +586,7 @@
         let low = (LEAST_CLASS * LOAD_OF_AIM / lateness.max(EPS)).clamp(LEAST_CLASS, 0.5);
         let share = LOAD_OF_AIM * (low + (1.0 - low) * mine);
         let least = if self.flow.peak > 0.0 { LEAST_OUT } else { 1.5 * LEAST_OUT };
-        let floor = least * live().count() as f64 / f64::from(self.settings.gateways.max(1));
+        let floor = least * live().count() as f64 / f64::from(self.settings.gateways);
         let bound = rate * share * (share / lateness.max(EPS)).min(1.0);
         // It swings by about its root: while answers are quick a few more do no harm, else a draw decides.
         let most = bound.max(floor);
@@ -647,14 +647,15 @@
         // from here, by aperture and warmth; and, where most are cold, of what would fall to it were all
         // warm, which it can carry then. Nothing sent yet: as much as idle servers bear from all of us.
         let live = self.servers.values().filter(|s| s.ready && !s.silent);
+        let reach = |s: &Server| s.part.max(OUTSIDE);
         let (mut full, mut warm, mut sent, mut servers) = (EPS, EPS, 0.0, 0.0);
         for s in live {
-            let size = s.part.max(OUTSIDE);
-            (full, warm, servers) = (full + size, warm + size * self.warmth(s, t), servers + 1.0);
+            let part = reach(s);
+            (full, warm, servers) = (full + part, warm + part * self.warmth(s, t), servers + 1.0);
             sent += s.sends.len() as f64;
         }
-        let usual = self.means[r.class].max(secs(self.settings.classes[r.class].aim) / 8.0);
-        let idle = LEAST_OUT * servers * secs(guarantees.tip_after) / usual;
+        let answer = self.means[r.class].max(secs(self.settings.classes[r.class].aim) / 8.0);
+        let idle = LEAST_OUT * servers * secs(guarantees.tip_after) / answer;
         let sent = f64::max(sent, idle / f64::from(self.settings.gateways));
         let multiple = guarantees.tip_multiple.max(1.0);
         let share = sent * (0.5 * multiple / warm).min(TIP_USED * multiple / full);
@@ -662,7 +663,7 @@
         let may_try = safe && r.attempts.is_empty() && self.settings.limits.duplicates;
         let eject = self.ejects();
         let fault_tau = self.fault_tau();
-        let unseen = 1.0 - (SEEN_BY / f64::from(self.settings.gateways.max(1))).min(1.0);
+        let unseen = 1.0 - (SEEN_BY / f64::from(self.settings.gateways)).min(1.0);
         let fading = |s: &Server| (s.load, ((s.told - t) / REPORT_TAU).exp());
         let told = self.servers.values().filter(|s| s.ready && s.told > 0.0).map(fading);
         let (sum, weights) = told.fold((0.0, EPS), |(a, b), (load, w)| (a + load * w, b + w));
@@ -679,7 +680,7 @@
             }
             // A fraction is drawn: hundreds of ones push a cold server over.
             let warmth = self.warmth(s, t);
-            let most = warmth * share * s.part.max(OUTSIDE);
+            let most = warmth * share * reach(s);
             if warmth < 1.0 && s.sends.len() as f64 + s.lot >= most {
                 continue;
             }
@@ -687,7 +688,7 @@
             let (load, weight) = fading(s);
             let load = usual + (load - usual) * weight;
             let work = 1.0 + s.out.len() as f64 + REPORT_WEIGHT * load + faults;
-            let size = s.weight * warmth * s.part.max(OUTSIDE);
+            let size = s.weight * warmth * reach(s);
             let cross = if s.zone == self.settings.zone { 1.0 } else { 1.02 };
             let score = work * s.slowness / size * cross * (1.0 + 0.02 * self.rng.f64());
             // Few gateways know nearly all that is out and go by it. Of many each sees next to nothing: all
@@ -773,18 +774,24 @@
         self.refuse(id, out);
     }
 
+    /// So long each server's sends are remembered: rule 4's span.
+    fn span(&self) -> f64 {
+        secs(self.settings.guarantees.tip_after).max(0.5)
+    }
+
     /// A failure fades over some seconds, and not before this gateway would come by again a few times: where
     /// it comes by rarely, each failure would be forgotten by the next request there.
     fn fault_tau(&self) -> f64 {
         let ready = || self.servers.values().filter(|s| s.ready);
         let (servers, sends) =
             ready().fold((0.0, 0.0), |(n, sum), s| (n + s.part, sum + s.sends.len() as f64));
-        let span = secs(self.settings.guarantees.tip_after).max(0.5);
-        (FAULT_VISITS * span * servers / f64::max(sends, 1.0)).clamp(FAULT_TAU, FORGET_AFTER)
+        (FAULT_VISITS * self.span() * servers / f64::max(sends, 1.0)).clamp(FAULT_TAU, FORGET_AFTER)
     }
 
     fn learn(&mut self, server: ServerId, class: usize, e: &AttemptEnd, t: f64) {
-        let (eject, fault_tau) = (self.ejects(), self.fault_tau());
+        let eject = self.ejects();
+        // Most ends are answers, which weigh no fault: they need no walk over the servers.
+        let fault_tau = if e.outcome == Outcome::Ok { FAULT_TAU } else { self.fault_tau() };
         let Some(s) = self.servers.get_mut(&server) else { return };
         let (outcome, took) = (e.outcome, secs(e.elapsed));
         s.out.remove(&(e.request, e.attempt));
@@ -964,7 +971,7 @@
 
     fn sweep(&mut self, t: f64, out: &mut Vec<Action>) {
         self.watch(t, out);
-        let span = secs(self.settings.guarantees.tip_after).max(0.5);
+        let span = self.span();
         for s in self.servers.values_mut() {
             if t >= s.lot_at + span {
                 (s.lot, s.lot_at) = (self.rng.f64(), t);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,8 +23,8 @@
 //! };
 //! let mut gateway = Gateway::new(settings, 7)?;
 //! let mut actions = Vec::new();
-//! let server = ServerEntry { server: ServerId(1), zone: 0, cell: 0, state: ServerState::Ready, weight: 1.0, rank: 1,
-//!     started_at: None };
+//! let server = ServerEntry { server: ServerId(1), zone: 0, cell: 0, state: ServerState::Ready, weight: 1.0,
+//!     rank: 1, started_at: None };
 //! gateway.handle(ms(0), Event::Servers(ListUpdate::Full(vec![server])), &mut actions);
 //! gateway.handle(ms(1), Event::Request(NewRequest { request: RequestId(1), class: 0, plan: 0,
 //!     customer: CustomerId(9), units: 1.0, spread: 2, time_left: ms(2000) }), &mut actions);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -139,11 +139,13 @@
     next: u64,
 }
 
+fn start(settings: &Settings, g: usize, seed: u64) -> Gateway {
+    Gateway::new(Settings { number: g as u32, ..settings.clone() }, seed).unwrap()
+}
+
 impl World {
     pub fn new(settings: Settings, gateways: usize, servers: u32) -> World {
-        let gates = (0..gateways)
-            .map(|g| Gateway::new(Settings { number: g as u32, ..settings.clone() }, g as u64).unwrap())
-            .collect();
+        let gates = (0..gateways).map(|g| start(&settings, g, g as u64)).collect();
         let mut w = World {
             now: ms(1000),
             settings,
@@ -170,8 +172,7 @@
 
     /// A gateway is killed and starts again with no memory.
     pub fn restart(&mut self, g: usize, servers: u32) {
-        self.gateways[g] =
-            Gateway::new(Settings { number: g as u32, ..self.settings.clone() }, 99 + g as u64).unwrap();
+        self.gateways[g] = start(&self.settings, g, 99 + g as u64);
         self.requests.retain(|(gate, _), _| *gate != g);
         self.counts.retain(|c| c.gateway != g);
         self.timers.retain(|_, gate| *gate != g);
--- a/tests/size_of_fleet.rs
+++ b/tests/size_of_fleet.rs
@@ -178,7 +178,8 @@
 }
 
 /// 100 gateways and 60 servers, of which the last `cold` have just started; three spans of work that stays out
-/// 200 ms. Returns the most that any cold server got within a span, and the mean of all servers within one.
+/// 200 ms. Returns the most that any cold server got within a span, the mean of all servers within one, and the
+/// cold ones' share of all sends.
 fn with_cold(cold: u32) -> (f64, f64, f64) {
     let span = 2000;
     let mut w = World::new(settings(100), 100, 60);
