Ask no total for rare customers whose excess costs nothing while the counter is short

A quarter of the calls were for the plan whose use beyond the quota costs nothing: `decide_alone` lets these pass anyway, so their totals changed nothing but their refusal.

At fault: `on_request`, which asked for every plan alike.

--- a/src/control.rs
+++ b/src/control.rs
@@ -442,9 +442,11 @@
         ledger.refill(t);
         ledger.seen += 1.0;
         let asked = self.rng.f64() < self.flow.pace;
-        // A jam is not fed with tries that the ledger refuses anyway, unless others must hear what is owed.
+        // A jam is not fed with tries that the ledger refuses anyway, unless others must hear what is owed, nor
+        // with those of customers seen rarely that cost nothing beyond the quota: they need no total to pass.
         let hopeless = ledger.level + ledger.assumed < 0.0 && ledger.carry < units;
-        let called = counted && asked && !(self.flow.pace < 1.0 && hopeless);
+        let free = plan.excess_cost <= 0.0 && ledger.rare();
+        let called = counted && asked && !(self.flow.pace < 1.0 && (hopeless || free));
         if called {
             // A try that the ledger has no room for asks without adding: its units would stand in the total
             // until this gateway's next add, and take room from the customer's tries elsewhere.
--- a/tests/size_of_fleet.rs
+++ b/tests/size_of_fleet.rs
@@ -57,6 +57,27 @@
     assert!(calls(&mut w, 0, CountMode::Answered) > 30);
 }
 
+#[test]
+fn a_counter_short_of_calls_is_spared_those_whose_total_would_change_nothing() {
+    let mut s = settings(MANY as u32);
+    s.plans[1] = Plan { excess_cost: 0.0, ..plan(5.0, 10.0) };
+    let mut w = World::new(s, MANY, 20);
+    let asked = |w: &mut World, plan: usize, customers: std::ops::Range<u64>, mode| {
+        let mut calls = 0;
+        for customer in customers {
+            w.request(0, 0, plan, customer);
+            calls += w.counts.len();
+            w.count_all(mode);
+            w.end(0, Outcome::Ok);
+        }
+        calls
+    };
+    assert_eq!(asked(&mut w, 1, 0..20, CountMode::Answered), 20, "a counter with room hears of each try");
+    asked(&mut w, 0, 0..20, CountMode::Refused);
+    assert_eq!(asked(&mut w, 1, 20..60, CountMode::Refused), 0, "free beyond the quota: no total is needed");
+    assert!(asked(&mut w, 0, 20..60, CountMode::Refused) > 0, "where it costs, some still ask");
+}
+
 #[test]
 fn a_cold_server_is_not_pushed_over_by_one_send_from_each_gateway() {
     let s = settings(MANY as u32);
