Without a total, pass by the learned odds of first tries and of clients' repeats

Totals let half of the first tries pass (49 to 50%) and 3 in 10 of those that clients make again, but without a total each passed at the fourth power of one share for both, learned too high (0.65 where 38% passed): 18% of first tries, 18% of repeats.

At fault: `decide_alone` (`pass.powi(4)`) and the shares in `on_counted`.

To make room, the meter is gone from the module: no platform served has one, and the daemon never read it.

--- a/benchlink/src/host.rs
+++ b/benchlink/src/host.rs
@@ -76,7 +76,6 @@
         outcome: outcome(c.code)?,
         elapsed: ms(c.duration_ms),
         finished: c.done,
-        metered_use: (c.usage > 0).then(|| f64::from(c.usage - 1) / 100.0),
         true_units: (c.true_units > 0).then(|| f64::from(c.true_units)),
         load: report(fields, &c.stats),
     }))
@@ -152,6 +151,7 @@
                     units: f64::from(w.units),
                     spread: w.doors as u32,
                     time_left: ms(w.left_ms),
+                    retry: w.marks & 2 != 0,
                 }),
             ),
             Record::Aborted { i, req } => (i, Event::ClientGone(RequestId(req))),
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -25,6 +25,8 @@
     pub spread: u32,
     /// Time until the client gives up.
     pub time_left: Duration,
+    /// The client says that it asks again.
+    pub retry: bool,
     /// What goes to a server.
     pub command: C,
     /// Bytes that holding it costs.
@@ -230,6 +232,7 @@
             units: ask.units,
             spread: ask.spread,
             time_left: ask.time_left,
+            retry: ask.retry,
         }));
         Ok(key)
     }
@@ -283,7 +286,6 @@
             outcome: end.outcome,
             elapsed: now.saturating_sub(out.begun),
             finished,
-            metered_use: None,
             true_units: None,
             load: end.load,
         }));
--- a/engine/tests/model.rs
+++ b/engine/tests/model.rs
@@ -49,7 +49,6 @@
             excess_cost: 1.0,
         }],
         counter: Some(Counter { timeout: ms(50) }),
-        meter_period: None,
         reports_on_probe: true,
         discovery: Discovery::Push,
         // The engine must not have two attempts out even where the platform would allow it.
@@ -146,6 +145,7 @@
             units: 1.0,
             spread: 2,
             time_left: ms(2000),
+            retry: false,
             command: id,
             bytes: 20,
         };
@@ -295,6 +295,7 @@
             units: 1.0,
             spread: 2,
             time_left: ms(2000),
+            retry: false,
             command: 0,
             bytes: 1,
         };
--- a/ingress/src/protocol/command.rs
+++ b/ingress/src/protocol/command.rs
@@ -23,6 +23,8 @@
     pub first: u32,
     /// The idempotency key.
     pub key: Option<u64>,
+    /// The client says that it asks again.
+    pub retry: bool,
     /// Where the value of `d` stands in the list of names and values.
     deadline: (usize, usize),
 }
@@ -104,6 +106,7 @@
         spread: spread.ok_or("spread is missing")?,
         first: first.ok_or("first is missing")?,
         key,
+        retry: again == Some(1),
         deadline,
     })
 }
--- a/ingress/src/routing/front.rs
+++ b/ingress/src/routing/front.rs
@@ -741,6 +741,7 @@
         units: r.units,
         spread: r.spread,
         time_left: Duration::from_secs_f64((r.wait_ms / 1000.0).min(3600.0)),
+        retry: r.retry,
         command,
     };
     Ok((ask, r.id))
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -65,7 +65,6 @@
 #[serde(rename_all = "PascalCase")]
 struct Domain {
     counter_timeout_ms: f64,
-    metering_ms: f64,
     #[serde(default)]
     most_units: f64,
     shared_counter: bool,
@@ -233,7 +232,6 @@
             classes: o.classes.iter().map(class).collect::<Result<_, _>>()?,
             plans: o.tiers_of_service.iter().map(plan).collect(),
             counter,
-            meter_period: (o.domain.metering_ms > 0.0).then(|| ms(o.domain.metering_ms)),
             // What a server's cores do says nothing of what it holds: such reports are worth no probe.
             reports_on_probe: o.report.via == "on_probe"
                 && o.report.fields.iter().any(|f| f == "busy_reqs" || f == "pending"),
--- a/src/control.rs
+++ b/src/control.rs
@@ -22,7 +22,12 @@
 const PACE_DOWN: f64 = 0.7;
 const PACE_UP: f64 = 1.3;
 const PACE_LEAST: f64 = 0.2;
-const METER_GAIN: f64 = 0.5; // How far one reading of the meter moves the share that passes blind.
+/// A rare customer's try without a total passes if it is likely enough to be inside the quota: a guess for
+/// first tries and for those that a client makes again (most customers stay inside, and the refused come
+/// again), which weighs as so many totals; totals older than so many fade.
+const INSIDE: [f64; 2] = [0.6, 0.3];
+const GUESS_WEIGHS: f64 = 5.0;
+const TOTALS_KEPT: f64 = 40.0;
 /// Share of a ceiling that is spent only on a confirmed total; the rest is split evenly for spending alone.
 /// One half lets a single informed gateway of up to four pass a whole quota under a ceiling of 1.6 quotas;
 /// where more than FEW share it totals come rarely, and most of the ceiling must do without them.
@@ -96,9 +101,7 @@
     assumed: f64,
     answered: f64,
     calls: VecDeque<Call>,
-    seen: f64, // Own tries of about a window, and the share of its tries that totals let pass.
-    pass: f64,
-    metered: f64,
+    seen: f64, // Own tries of about a window.
     plan: usize,
     alone: f64, // Ceiling: what may be spent alone, and what may be spent on a confirmed total.
     pool: f64,
@@ -110,18 +113,19 @@
     request: RequestId,
     units: f64,
     add: f64,
+    retry: bool,
     counted: bool,         // Are its own units in the add?
     decided: Option<bool>, // Decided before the answer: was it granted?
 }
 
 impl Ledger {
-    fn new(plan: &Plan, spread: f64, counted: bool, now: f64, of: (usize, f64)) -> Ledger {
+    fn new(plan: &Plan, spread: f64, counted: bool, now: f64, of: usize) -> Ledger {
         let window = (plan.burst / plan.rate.max(EPS)).clamp(0.1, 60.0); // a counter's longest
         let ceiling = (plan.ceiling_rate > 0.0)
             .then_some((plan.ceiling_rate, plan.ceiling_burst + plan.ceiling_slack * SLACK_USED));
         let mut l =
             Ledger { rate: plan.rate, burst: plan.burst, window, spread, ceiling, ..Ledger::default() };
-        (l.plan, l.pass) = of;
+        l.plan = of;
         (l.at, l.answered) = (now, now);
         // Without a total: most customers use less than half of their quota. The ceiling starts with
         // nothing: before this gateway's own restart its former self may have spent it all (rule 5).
@@ -245,6 +249,7 @@
     customer: CustomerId,
     units: f64,
     end: f64,
+    retry: bool,
     waiting: bool, // Waiting for the counter's total.
     done: bool,
     streaming: bool,
@@ -305,7 +310,7 @@
     servers: BTreeMap<ServerId, Server>,
     means: Vec<f64>, // Mean answer time of each class.
     wait: f64,
-    passed: Vec<f64>, // Share of each plan's tries that totals let pass.
+    inside: Vec<[(f64, f64); 2]>, // Of each plan's first tries and of others: the share inside, of how many.
     flow: Flow,
 }
 
@@ -357,7 +362,7 @@
             servers: BTreeMap::new(),
             means,
             wait: (aim * WAIT_OF_AIM).min(timeout),
-            passed: vec![1.0; settings.plans.len()],
+            inside: vec![INSIDE.map(|share| (share, GUESS_WEIGHS)); settings.plans.len()],
             // Not quick until answers say so: at the start all gateways would fill the servers at once.
             flow: Flow { lateness: LOAD_OF_AIM, pace: 1.0, retries: 1.0, probes: 1.0, ..Flow::default() },
             settings,
@@ -425,15 +430,15 @@
             end = end.min(t + secs(class.aim));
         }
         let (class, customer, end) = (r.class, r.customer, end.max(t));
-        let request = Request { class, customer, units, end, waiting: true, ..Request::default() };
+        let request =
+            Request { class, customer, units, end, retry: r.retry, waiting: true, ..Request::default() };
         self.requests.insert(r.request, request);
         self.alarm(end, Alarm::End(r.request));
         let plan = &self.settings.plans[r.plan];
         let spread = f64::from(r.spread.clamp(1, self.settings.gateways));
         let counted = self.settings.counter.is_some() && (plan.rate > 0.0 || plan.ceiling_rate > 0.0);
-        let of = (r.plan, self.passed[r.plan]);
         let ledger =
-            self.ledgers.entry(r.customer).or_insert_with(|| Ledger::new(plan, spread, counted, t, of));
+            self.ledgers.entry(r.customer).or_insert_with(|| Ledger::new(plan, spread, counted, t, r.plan));
         ledger.spread = ledger.spread.max(spread);
         if plan.max_open > 0 && f64::from(ledger.open) >= (f64::from(plan.max_open) / ledger.spread).ceil() {
             return self.refuse(r.request, out);
@@ -442,8 +447,8 @@
         ledger.refill(t);
         ledger.seen += 1.0;
         let asked = self.rng.f64() < self.flow.pace;
-        // A jam is not fed with tries that the ledger refuses anyway, unless others must hear what is owed, nor
-        // with those of customers seen rarely that cost nothing beyond the quota: they need no total to pass.
+        // A jam is not fed with tries that the ledger refuses anyway, unless others must hear what is owed,
+        // nor with those of rare customers that cost nothing beyond the quota: they need no total to pass.
         let hopeless = ledger.level + ledger.assumed < 0.0 && ledger.carry < units;
         let free = plan.excess_cost <= 0.0 && ledger.rare();
         let called = counted && asked && !(self.flow.pace < 1.0 && (hopeless || free));
@@ -456,7 +461,8 @@
             let speaks = if ledger.rare() { 1.0 / self.flow.pace.max(0.25) } else { 1.0 };
             let add = due.max(0.0) * speaks;
             ledger.carry = due.min(0.0);
-            ledger.calls.push_back(Call { request: r.request, units, add, counted, decided: None });
+            let call = Call { request: r.request, units, add, retry: r.retry, counted, decided: None };
+            ledger.calls.push_back(call);
             let (name, lifetime) = (CountName(r.customer.0), dur(ledger.window));
             out.push(Action::Count { name, add, lifetime });
             if !self.flow.suspect {
@@ -468,13 +474,16 @@
 
     /// Decides without a total, by the ledger. `owed`: no add is out for it.
     fn decide_alone(&mut self, id: RequestId, owed: bool, t: f64, out: &mut Vec<Action>) {
-        let Some((customer, units)) = self.requests.get(&id).map(|r| (r.customer, r.units)) else { return };
+        let Some(r) = self.requests.get(&id) else { return };
+        let (customer, units, retry) = (r.customer, r.units, r.retry);
         let Some(ledger) = self.ledgers.get_mut(&customer) else { return };
         ledger.assume(t);
         let rare = ledger.rare() && self.settings.counter.is_some();
-        let likely = ledger.spread <= FEW || self.rng.f64() < ledger.pass.powi(4);
-        // What costs nothing beyond the quota is held by its ceiling and the load alone.
-        let free = self.settings.plans[ledger.plan].excess_cost <= 0.0;
+        // To pass is worth the chance of being inside, less the price where it is not. What costs nothing
+        // beyond the quota is held by its ceiling and the load alone.
+        let (cost, inside) = (self.settings.plans[ledger.plan].excess_cost, self.inside[ledger.plan]);
+        let likely = ledger.spread <= FEW || inside[usize::from(retry)].0 * (1.0 + cost) > cost;
+        let free = cost <= 0.0;
         let room = ledger.under_ceiling(units, false) && (free || likely && ledger.has_room(units, false));
         if let Some(call) = ledger.calls.iter_mut().find(|c| c.request == id) {
             call.decided = Some(room);
@@ -494,10 +503,9 @@
                 ledger.settle(total, call.add, t, self.flow.pace);
                 room = room.or(Some(ledger.has_room(call.units, true)));
                 let inside = ledger.rate <= 0.0 || ledger.level + EPS >= call.units;
-                let share = if inside { 1.0 } else { ledger.burst / total.max(ledger.burst).max(EPS) };
-                ledger.pass += (share - ledger.pass) * 0.5;
-                let prior = &mut self.passed[ledger.plan];
-                *prior += (share - *prior) * 0.05;
+                let (share, of) = &mut self.inside[ledger.plan][usize::from(call.retry)];
+                *of = (*of + 1.0).min(TOTALS_KEPT);
+                *share += (f64::from(u8::from(inside)) - *share) / *of;
             }
             CountResult::NotAdded => ledger.carry = (ledger.carry + call.add).min(ledger.burst),
             _ => {} // It may have been added: taken as added.
@@ -740,15 +748,7 @@
         let (class, customer, units) = (r.class, r.customer, r.units);
         self.learn(server, class, &e, t);
         self.on_load(server, e.load, t);
-        let period = self.settings.meter_period.map_or(1.0, secs);
         if let Some(l) = self.ledgers.get_mut(&customer) {
-            // The meter steers the share that passes blind, once a period, less where that holds few units.
-            let told = e.metered_use.filter(|u| u.is_finite() && t >= l.metered + period);
-            if let Some(used) = told {
-                l.metered = t;
-                let gain = METER_GAIN * l.rate * period / (l.rate * period + 2.0);
-                l.pass = (l.pass * used.max(0.1).powf(-gain)).clamp(0.05, 1.0);
-            }
             // Guessed units: the difference rides on the customer's next add.
             let more = e.true_units.filter(|u| u.is_finite()).map_or(0.0, |u| u.max(0.0) - units);
             (l.level, l.carry) = (l.level - more, l.carry + more);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -159,8 +159,6 @@
     pub plans: Vec<Plan>,
     /// The counter service, if any.
     pub counter: Option<Counter>,
-    /// Period of the meter, if any.
-    pub meter_period: Option<Duration>,
     /// Do load reports that say what a server holds come with probes alone?
     pub reports_on_probe: bool,
     /// Discovery mode.
@@ -320,6 +318,8 @@
     pub spread: u32,
     /// Time until the client gives this try up.
     pub time_left: Duration,
+    /// The client says that it asks again; never where clients do not mark that.
+    pub retry: bool,
 }
 
 /// How an attempt ended, with what came along.
@@ -337,8 +337,6 @@
     pub elapsed: Duration,
     /// The request is finished; nothing is owed.
     pub finished: bool,
-    /// The customer's use over all gateways as a share of its rate, late.
-    pub metered_use: Option<f64>,
     /// True units, where the request's were a guess.
     pub true_units: Option<f64>,
     /// The server's load report.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,7 @@
 //!         effect: Effect::Safe, streamed: false }],
 //!     plans: vec![Plan { rate: 5.0, burst: 10.0, max_open: 0, ceiling_rate: 0.0, ceiling_burst: 0.0,
 //!         ceiling_slack: 0.0, price: 1.0, excess_worth: 0.0, excess_cost: 1.0 }],
-//!     counter: Some(Counter { timeout: ms(50) }), meter_period: None, reports_on_probe: false,
+//!     counter: Some(Counter { timeout: ms(50) }), reports_on_probe: false,
 //!     discovery: Discovery::Push,
 //!     limits: Limits { max_attempts: 3, cancel: true, duplicates: true, probes: false, retry_advice: true,
 //!         max_retry_advice: ms(1000) },
@@ -27,7 +27,7 @@
 //!     rank: 1, started_at: None };
 //! gateway.handle(ms(0), Event::Servers(ListUpdate::Full(vec![server])), &mut actions);
 //! gateway.handle(ms(1), Event::Request(NewRequest { request: RequestId(1), class: 0, plan: 0,
-//!     customer: CustomerId(9), units: 1.0, spread: 2, time_left: ms(2000) }), &mut actions);
+//!     customer: CustomerId(9), units: 1.0, spread: 2, time_left: ms(2000), retry: false }), &mut actions);
 //! // The request waits for its add; the embedder performs the call and tells the total.
 //! let name = actions.iter().find_map(|a| match a { Action::Count { name, .. } => Some(*name), _ => None });
 //! actions.clear();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -55,7 +55,6 @@
         ],
         plans: vec![plan(5.0, 10.0), ceiling_plan(), Plan { max_open: 4, ..plan(0.0, 0.0) }],
         counter: Some(Counter { timeout: ms(60) }),
-        meter_period: Some(ms(1000)),
         reports_on_probe: false,
         discovery: Discovery::Push,
         limits: Limits {
@@ -135,6 +134,8 @@
     pub sends: Vec<(usize, u32, Duration)>,
     pub logs: Vec<String>,
     pub actions: Vec<(usize, Action)>,
+    /// Are the requests that come clients' repeats?
+    pub retry: bool,
     timers: BTreeMap<(Duration, u64), usize>,
     next: u64,
 }
@@ -160,6 +161,7 @@
             sends: Vec::new(),
             logs: Vec::new(),
             actions: Vec::new(),
+            retry: false,
             timers: BTreeMap::new(),
             next: 1,
         };
@@ -305,6 +307,7 @@
             units: 1.0,
             spread: self.gateways.len() as u32,
             time_left: left,
+            retry: self.retry,
         };
         self.tell(g, Event::Request(event));
         id
@@ -370,7 +373,6 @@
             outcome,
             elapsed,
             finished: r.answer.is_some(),
-            metered_use: None,
             true_units: None,
             load: None,
         };
--- a/tests/counter.rs
+++ b/tests/counter.rs
@@ -210,7 +210,6 @@
         outcome: Outcome::Ok,
         elapsed: ms(9),
         finished: true,
-        metered_use: None,
         true_units: Some(4.0),
         load: None,
     };
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -39,7 +39,6 @@
         outcome: Outcome::Ok,
         elapsed: ms(1),
         finished: true,
-        metered_use: Some(nan),
         true_units: Some(nan),
         load: Some(LoadReport { in_flight: Some(nan), queued: Some(-1.0), ..Default::default() }),
     };
--- a/tests/size_of_fleet.rs
+++ b/tests/size_of_fleet.rs
@@ -78,6 +78,35 @@
     assert!(asked(&mut w, 0, 20..60, CountMode::Refused) > 0, "where it costs, some still ask");
 }
 
+#[test]
+fn without_totals_tries_pass_by_what_totals_told_of_first_tries_and_of_repeats() {
+    let mut w = World::new(settings(MANY as u32), MANY, 20);
+    let mut next = 0;
+    // How many of so many tries pass, each of a customer of its own that others have used so far.
+    let mut passed = |w: &mut World, tries: u64, (retry, used): (bool, f64), mode| {
+        w.retry = retry;
+        let mut passed = 0;
+        for _ in 0..tries {
+            next += 1;
+            w.numbers.insert(next, (used, w.now + ms(2000)));
+            let id = w.request(0, 0, 0, next);
+            w.count_all(mode);
+            passed += u64::from(w.sent(0, id) > 0);
+            w.advance(ms(20));
+            w.end(0, Outcome::Ok);
+        }
+        passed
+    };
+    let (first, again) = ((false, 0.0), (true, 0.0));
+    assert_eq!(passed(&mut w, 20, first, CountMode::Refused), 20, "most customers stay inside their quota");
+    assert_eq!(passed(&mut w, 20, again, CountMode::Refused), 0, "those who come again were refused");
+    // Now totals tell that those who come again have room, and first tries have none.
+    passed(&mut w, 100, again, CountMode::Answered);
+    passed(&mut w, 100, (false, 50.0), CountMode::Answered);
+    assert_eq!(passed(&mut w, 20, again, CountMode::Refused), 20, "repeats were told to have room");
+    assert_eq!(passed(&mut w, 20, first, CountMode::Refused), 0, "first tries were told to have none");
+}
+
 #[test]
 fn a_cold_server_is_not_pushed_over_by_one_send_from_each_gateway() {
     let s = settings(MANY as u32);
