--- a/tests/size_of_fleet.rs
+++ b/tests/size_of_fleet.rs
@@ -98,6 +98,8 @@
         passed
     };
     let (first, again) = ((false, 0.0), (true, 0.0));
+    // Answers that come tell that the servers bear what goes out from here.
+    passed(&mut w, 20, first, CountMode::Answered);
     assert_eq!(passed(&mut w, 20, first, CountMode::Refused), 20, "most customers stay inside their quota");
     assert_eq!(passed(&mut w, 20, again, CountMode::Refused), 0, "those who come again were refused");
     // Now totals tell that those who come again have room, and first tries have none.
