Bound the wait between calls to discovery by what is left before news counts as told

PROTOCOL: what discovery has to tell counts as told after 6 s, heard or not, and sends must end within the settings' grace from then. The sum of a watch that dies silently is list_silence 3 s + list_first 1 s + the longest wait after calls that fail, 3 s at 300 ingresses: 7 s. That is inside 6 s + 2 s as served, and outside where the settings give less than a second (the test hears after 6.997 s at a grace of 0 without the change).

`list_again_most` is now held to what the other two leave, 2 s at a grace of 0; at today's grace nothing changes. A test at 300 x 200 holds cold servers' sends with every tenth ingress at five times the traffic.

--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -5,6 +5,9 @@
 use roseyard_settings::Options;
 use std::time::Duration;
 
+/// What discovery has to tell counts as told after this, heard or not.
+const TOLD: Duration = Duration::from_secs(6);
+
 /// Sizes in bytes, counts and times.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -107,7 +110,10 @@
         let ms = Duration::from_millis;
         let memory = memory_mb.max(32) << 20;
         let longest = options.longest_deadline();
-        let list_again = ms(200);
+        let (list_again, list_silence, list_first) = (ms(200), ms(3000), ms(1000));
+        // Guards against sends to what counts as told drained: a watch that dies silently, a new call that is silent
+        // and the longest wait after calls that fail end in time, whatever the settings' grace.
+        let told = (TOLD + options.drain_grace()).saturating_sub(list_silence + list_first);
         Limits {
             value_bytes: 64 << 10,
             line_bytes: 8 << 10,
@@ -141,12 +147,11 @@
             counter_idle: ms(4000),
             counter_silence: ms(1000),
             counter_again: ms(100),
-            list_silence: ms(3000),
-            list_first: ms(1000),
+            list_silence,
+            list_first,
             list_again,
-            // All ingresses together call some forty times a second; what discovery has to tell counts as told
-            // after 6 s, heard or not.
-            list_again_most: ms(30 * u64::from(options.ingresses())).clamp(list_again, ms(3000)),
+            // All ingresses together call some forty times a second, where there is time for that.
+            list_again_most: ms(30 * u64::from(options.ingresses())).clamp(list_again, told.min(ms(3000))),
             ready: ms(1000),
             accept_again: ms(20),
             client_stall: ms(10_000),
@@ -164,8 +169,15 @@
 impl Limits {
     /// Those of an ordinary machine under the tests' settings, in a tier of so many ingresses.
     pub(crate) fn of_test(ingresses: u32) -> Limits {
+        Limits::of_test_with(ingresses, 2000)
+    }
+
+    /// The same under a grace of so many milliseconds for sends to drained servers.
+    pub(crate) fn of_test_with(ingresses: u32, grace: u32) -> Limits {
         let settings = include_str!("../tests/settings.json");
         let settings = settings.replace("\"Balancers\":1,", &format!("\"Balancers\":{ingresses},"));
+        let settings =
+            settings.replace("\"StopSendingWithinMs\":2000.0", &format!("\"StopSendingWithinMs\":{grace}.0"));
         let operator = Effective::new(&roseyard_operator::Machine { sockets: 1024, allowed: 1024 });
         Limits::new(&operator, 192, &Options::parse(settings.as_bytes()).unwrap())
     }
--- a/ingress/src/routing/discovery.rs
+++ b/ingress/src/routing/discovery.rs
@@ -199,6 +199,18 @@
         (at.len(), fullest.unwrap())
     }
 
+    #[test]
+    fn a_watch_that_dies_silently_is_heard_again_before_its_news_must_have_been_acted_on() {
+        for (ingresses, grace) in [(2, 0), (2, 2000), (300, 0), (300, 500), (300, 2000)] {
+            let limits = Limits::of_test_with(ingresses, grace);
+            let mut watch = Watch::new("127.0.0.1:1".parse().unwrap(), 5);
+            let longest = (0..1000).map(|_| watch.back_off(&limits)).max().unwrap();
+            let heard = limits.list_silence + limits.list_first + longest;
+            let told = Duration::from_millis(6000 + u64::from(grace));
+            assert!(heard <= told, "{ingresses} ingresses, grace {grace} ms: heard after {heard:?}");
+        }
+    }
+
     #[test]
     fn a_hundred_ingresses_do_not_keep_an_overbooked_discovery_overbooked() {
         let (all, fullest) = calls(100);
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -174,6 +174,11 @@
         Some(ms(self.ceilings.conn_idle_ms)).filter(|d| !d.is_zero())
     }
 
+    /// Sends to a server that was told draining or gone end within this.
+    pub fn drain_grace(&self) -> Duration {
+        ms(self.guarantees.stop_sending_within_ms)
+    }
+
     /// A connection that is not up by then has failed.
     pub fn connect_timeout(&self) -> Option<Duration> {
         Some(ms(self.ceilings.connect_timeout_ms)).filter(|d| !d.is_zero())
@@ -249,7 +254,7 @@
                 warm_within: ms(o.guarantees.warm_within_ms),
                 tip_multiple: o.guarantees.tip_multiple,
                 tip_after: ms(o.guarantees.tip_after_ms),
-                drain_grace: ms(o.guarantees.stop_sending_within_ms),
+                drain_grace: self.drain_grace(),
             },
         };
         Ok(settings)
--- a/tests/size_of_fleet.rs
+++ b/tests/size_of_fleet.rs
@@ -250,48 +250,58 @@
     }
 }
 
-/// 100 gateways and 60 servers, of which the last `cold` have just started; three spans of work that stays out
-/// 200 ms. Returns the most that any cold server got within a span, the mean of all servers within one, and the
-/// cold ones' share of all sends.
-fn with_cold(cold: u32) -> (f64, f64, f64) {
+/// Gateways and servers, of which the last `cold` have just started; three spans of work that stays out 200 ms,
+/// every tenth gateway with `busy` times the others' traffic. Returns the most that any cold server got within a
+/// span, the mean of all servers within one, and the cold ones' share of all sends.
+fn with_cold(gateways: usize, servers: u32, cold: u32, busy: usize) -> (f64, f64, f64) {
     let span = 2000;
-    let mut w = World::new(settings(100), 100, 60);
+    let mut w = World::new(settings(gateways as u32), gateways, servers);
     let started = Some(w.now);
-    let list = |n: u32| entry(n, ServerState::Ready, started.filter(|_| n >= 60 - cold));
-    for g in 0..100 {
-        w.tell(g, Event::Servers(ListUpdate::Full((0..60).map(list).collect())));
+    let list = |n: u32| entry(n, ServerState::Ready, started.filter(|_| n >= servers - cold));
+    for g in 0..gateways {
+        w.tell(g, Event::Servers(ListUpdate::Full((0..servers).map(list).collect())));
     }
     let (mut most, mut total): (f64, f64) = (0.0, 0.0);
     for window in 0..3 {
         let from = w.sends.len();
         for step in 0..span / 200 {
-            for g in 0..100 {
-                w.request(g, 0, 2, (window * 10_000 + step * 100 + g) as u64);
+            for g in 0..gateways {
+                for _ in 0..if g.is_multiple_of(10) { busy } else { 1 } {
+                    w.request(g, 0, 2, (window * 10_000 + step * 100 + g) as u64);
+                }
             }
             w.count_all(CountMode::Answered);
             rest(&mut w, 200);
+            w.requests.retain(|_, r| r.answer.is_none());
         }
         let sends = &w.sends[from..];
         let got = |n: u32| sends.iter().filter(|s| s.1 == n).count() as f64;
-        most = (60 - cold..60).map(got).fold(most, f64::max);
+        most = (servers - cold..servers).map(got).fold(most, f64::max);
         total += sends.len() as f64;
     }
-    let cold_sends = w.sends.iter().filter(|s| s.1 >= 60 - cold).count() as f64;
-    (most, total / 180.0, cold_sends / total)
+    let cold_sends = w.sends.iter().filter(|s| s.1 >= servers - cold).count() as f64;
+    (most, total / (3.0 * f64::from(servers)), cold_sends / total)
 }
 
 #[test]
 fn six_in_ten_cold_servers_carry_their_part_and_are_not_pushed_over() {
-    let (most, mean, share) = with_cold(36);
+    let (most, mean, share) = with_cold(100, 60, 36, 1);
     // A quarter to seven tenths of a warm one's part, as they warm: a fifth to half of all falls to them.
     assert!(share > 0.2, "{share} of the sends go to 36 of 60 servers");
     // Within the rule's span at most its multiple of what a server carries on the mean, at a warmth of 0.7.
     assert!(most <= 2.0 * 0.7 * mean * 1.5, "{most} in a span to a cold server, {mean} on the mean to each");
 }
 
+#[test]
+fn at_full_size_the_busiest_gateways_push_no_cold_server_over_either() {
+    let (most, mean, share) = with_cold(300, 200, 120, 5);
+    assert!(share > 0.2, "{share} of the sends go to 120 of 200 servers");
+    assert!(most <= 2.0 * 0.7 * mean * 1.5, "{most} in a span to a cold server, {mean} on the mean to each");
+}
+
 #[test]
 fn where_all_servers_are_cold_the_rule_holds_and_work_goes_on() {
-    let (most, mean, share) = with_cold(60);
+    let (most, mean, share) = with_cold(100, 60, 60, 1);
     assert_eq!(share, 1.0);
     assert!(mean > 3.0, "{mean} sends in a span to each server");
     assert!(most <= 40.0, "{most} in a span to a server that carries 17 when all work is let in");
