--- a/tests/size_of_fleet.rs
+++ b/tests/size_of_fleet.rs
@@ -252,8 +252,9 @@
 
 /// Gateways and servers, of which the last `cold` have just started; three spans of work that stays out 200 ms,
 /// every tenth gateway with `busy` times the others' traffic. Returns the most that any cold server got within a
-/// span, the mean of all servers within one, and the cold ones' share of all sends.
-fn with_cold(gateways: usize, servers: u32, cold: u32, busy: usize) -> (f64, f64, f64) {
+/// span, the mean of all servers within one, the cold ones' share of all sends, and the most that one got as a
+/// part of what the rule lets a server have that carries the mean once it is warm.
+fn with_cold(gateways: usize, servers: u32, cold: u32, busy: usize) -> (f64, f64, f64, f64) {
     let span = 2000;
     let mut w = World::new(settings(gateways as u32), gateways, servers);
     let started = Some(w.now);
@@ -261,13 +262,13 @@
     for g in 0..gateways {
         w.tell(g, Event::Servers(ListUpdate::Full((0..servers).map(list).collect())));
     }
-    let (mut most, mut total): (f64, f64) = (0.0, 0.0);
-    for window in 0..3 {
+    let (mut most, mut total, mut part): (f64, f64, f64) = (0.0, 0.0, 0.0);
+    for window in 0..3u32 {
         let from = w.sends.len();
         for step in 0..span / 200 {
             for g in 0..gateways {
                 for _ in 0..if g.is_multiple_of(10) { busy } else { 1 } {
-                    w.request(g, 0, 2, (window * 10_000 + step * 100 + g) as u64);
+                    w.request(g, 0, 2, (window as usize * 10_000 + step * 100 + g) as u64);
                 }
             }
             w.count_all(CountMode::Answered);
@@ -276,16 +277,19 @@
         }
         let sends = &w.sends[from..];
         let got = |n: u32| sends.iter().filter(|s| s.1 == n).count() as f64;
-        most = (servers - cold..servers).map(got).fold(most, f64::max);
+        let most_now = (servers - cold..servers).map(got).fold(0.0, f64::max);
+        most = most.max(most_now);
+        let (mean, warmth) = (sends.len() as f64 / f64::from(servers), 0.25 + 0.15 * f64::from(window + 1));
+        part = part.max(most_now / (2.0 * warmth * mean));
         total += sends.len() as f64;
     }
     let cold_sends = w.sends.iter().filter(|s| s.1 >= servers - cold).count() as f64;
-    (most, total / (3.0 * f64::from(servers)), cold_sends / total)
+    (most, total / (3.0 * f64::from(servers)), cold_sends / total, part)
 }
 
 #[test]
 fn six_in_ten_cold_servers_carry_their_part_and_are_not_pushed_over() {
-    let (most, mean, share) = with_cold(100, 60, 36, 1);
+    let (most, mean, share, _) = with_cold(100, 60, 36, 1);
     // A quarter to seven tenths of a warm one's part, as they warm: a fifth to half of all falls to them.
     assert!(share > 0.2, "{share} of the sends go to 36 of 60 servers");
     // Within the rule's span at most its multiple of what a server carries on the mean, at a warmth of 0.7.
@@ -294,14 +298,15 @@
 
 #[test]
 fn at_full_size_the_busiest_gateways_push_no_cold_server_over_either() {
-    let (most, mean, share) = with_cold(300, 200, 120, 5);
-    assert!(share > 0.2, "{share} of the sends go to 120 of 200 servers");
-    assert!(most <= 2.0 * 0.7 * mean * 1.5, "{most} in a span to a cold server, {mean} on the mean to each");
+    let (_, mean, share, part) = with_cold(300, 200, 120, 5);
+    assert!(mean > 10.0 && share > 0.2, "{mean} to each on the mean, {share} of all to 120 of 200 servers");
+    // The most of 360, some ten each: chance adds up to half. Without the bound and the weight by warmth it is 2.1.
+    assert!(part <= 1.5, "a cold server got {part} of what the rule allows in a span");
 }
 
 #[test]
 fn where_all_servers_are_cold_the_rule_holds_and_work_goes_on() {
-    let (most, mean, share) = with_cold(100, 60, 60, 1);
+    let (most, mean, share, _) = with_cold(100, 60, 60, 1);
     assert_eq!(share, 1.0);
     assert!(mean > 3.0, "{mean} sends in a span to each server");
     assert!(most <= 40.0, "{most} in a span to a server that carries 17 when all work is let in");
