Make one piece of what the fleet's tests wrote twice, and name what they return

Two tests counted the calls of a gateway with the same loop, four places told a list to all gateways, and `with_cold` handed back four numbers by place: now `calls`, `World::tell_all` and a struct `Cold`. A ledger gets its plan's index where it is made.

--- a/src/control.rs
+++ b/src/control.rs
@@ -119,13 +119,12 @@
 }
 
 impl Ledger {
-    fn new(plan: &Plan, spread: f64, counted: bool, now: f64, of: usize) -> Ledger {
+    fn new(plan: &Plan, spread: f64, counted: bool, now: f64, index: usize) -> Ledger {
         let window = (plan.burst / plan.rate.max(EPS)).clamp(0.1, 60.0); // a counter's longest
         let ceiling = (plan.ceiling_rate > 0.0)
             .then_some((plan.ceiling_rate, plan.ceiling_burst + plan.ceiling_slack * SLACK_USED));
-        let mut l =
-            Ledger { rate: plan.rate, burst: plan.burst, window, spread, ceiling, ..Ledger::default() };
-        l.plan = of;
+        let (rate, burst) = (plan.rate, plan.burst);
+        let mut l = Ledger { rate, burst, window, spread, ceiling, plan: index, ..Ledger::default() };
         (l.at, l.answered) = (now, now);
         // Without a total: most customers use less than half of their quota. The ceiling starts with
         // nothing: before this gateway's own restart its former self may have spent it all (rule 5).
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -166,9 +166,7 @@
             next: 1,
         };
         let list: Vec<_> = (0..servers).map(|s| entry(s, ServerState::Ready, None)).collect();
-        for g in 0..gateways {
-            w.tell(g, Event::Servers(ListUpdate::Full(list.clone())));
-        }
+        w.tell_all(&ListUpdate::Full(list));
         w
     }
 
@@ -183,6 +181,13 @@
         self.tell(g, Event::Servers(ListUpdate::Full(list)));
     }
 
+    /// All gateways hear of the list.
+    pub fn tell_all(&mut self, update: &ListUpdate) {
+        for g in 0..self.gateways.len() {
+            self.tell(g, Event::Servers(update.clone()));
+        }
+    }
+
     pub fn tell(&mut self, g: usize, event: Event) {
         if let Event::Servers(ListUpdate::Changes(e) | ListUpdate::Full(e)) = &event {
             for e in e {
--- a/tests/size_of_fleet.rs
+++ b/tests/size_of_fleet.rs
@@ -38,23 +38,25 @@
     }
 }
 
+/// How many calls gateway 0 makes for a try of each of these customers.
+fn calls(w: &mut World, plan: usize, customers: std::ops::Range<u64>, mode: CountMode) -> usize {
+    let mut asked = 0;
+    for customer in customers {
+        w.request(0, 0, plan, customer);
+        asked += w.counts.len();
+        w.count_all(mode);
+        w.end(0, Outcome::Ok);
+        w.advance(ms(30));
+    }
+    asked
+}
+
 #[test]
 fn a_counter_short_of_calls_is_asked_less_and_again_when_it_recovers() {
     let mut w = World::new(settings(MANY as u32), MANY, 20);
-    let calls = |w: &mut World, g: usize, mode: CountMode| {
-        let mut asked = 0;
-        for k in 0..40 {
-            w.request(g, 0, 0, k);
-            asked += w.counts.len();
-            w.count_all(mode);
-            w.end(0, Outcome::Ok);
-            w.advance(ms(30));
-        }
-        asked
-    };
-    assert!(calls(&mut w, 0, CountMode::Refused) < 20);
-    calls(&mut w, 0, CountMode::Answered);
-    assert!(calls(&mut w, 0, CountMode::Answered) > 30);
+    assert!(calls(&mut w, 0, 0..40, CountMode::Refused) < 20);
+    calls(&mut w, 0, 0..40, CountMode::Answered);
+    assert!(calls(&mut w, 0, 0..40, CountMode::Answered) > 30);
 }
 
 #[test]
@@ -62,20 +64,10 @@
     let mut s = settings(MANY as u32);
     s.plans[1] = Plan { excess_cost: 0.0, ..plan(5.0, 10.0) };
     let mut w = World::new(s, MANY, 20);
-    let asked = |w: &mut World, plan: usize, customers: std::ops::Range<u64>, mode| {
-        let mut calls = 0;
-        for customer in customers {
-            w.request(0, 0, plan, customer);
-            calls += w.counts.len();
-            w.count_all(mode);
-            w.end(0, Outcome::Ok);
-        }
-        calls
-    };
-    assert_eq!(asked(&mut w, 1, 0..20, CountMode::Answered), 20, "a counter with room hears of each try");
-    asked(&mut w, 0, 0..20, CountMode::Refused);
-    assert_eq!(asked(&mut w, 1, 20..60, CountMode::Refused), 0, "free beyond the quota: no total is needed");
-    assert!(asked(&mut w, 0, 20..60, CountMode::Refused) > 0, "where it costs, some still ask");
+    assert_eq!(calls(&mut w, 1, 0..20, CountMode::Answered), 20, "a counter with room hears of each try");
+    calls(&mut w, 0, 0..20, CountMode::Refused);
+    assert_eq!(calls(&mut w, 1, 20..60, CountMode::Refused), 0, "free beyond the quota: no total is needed");
+    assert!(calls(&mut w, 0, 20..60, CountMode::Refused) > 0, "where it costs, some still ask");
 }
 
 #[test]
@@ -135,9 +127,7 @@
     let s = settings(MANY as u32);
     let mut w = World::new(s, MANY, 20);
     let started = Some(w.now);
-    for g in 0..MANY {
-        w.tell(g, Event::Servers(ListUpdate::Changes(vec![entry(77, ServerState::Ready, started)])));
-    }
+    w.tell_all(&ListUpdate::Changes(vec![entry(77, ServerState::Ready, started)]));
     let from = w.now;
     // Every gateway's warm servers are busy: eight requests each stay out within the rule's span.
     for round in 0..8 {
@@ -202,9 +192,7 @@
 #[test]
 fn small_servers_carry_their_share_where_each_gateway_has_little_out() {
     let mut w = World::new(settings(100), 100, 60);
-    for g in 0..100 {
-        w.tell(g, Event::Servers(ListUpdate::Full(two_sizes(60))));
-    }
+    w.tell_all(&ListUpdate::Full(two_sizes(60)));
     for round in 0..60 {
         for g in 0..100 {
             w.request(g, 0, 2, (round * 100 + g) as u64);
@@ -250,18 +238,25 @@
     }
 }
 
-/// Gateways and servers, of which the last `cold` have just started; three spans of work that stays out 200 ms,
-/// every tenth gateway with `busy` times the others' traffic. Returns the most that any cold server got within a
-/// span, the mean of all servers within one, the cold ones' share of all sends, and the most that one got as a
-/// part of what the rule lets a server have that carries the mean once it is warm.
-fn with_cold(gateways: usize, servers: u32, cold: u32, busy: usize) -> (f64, f64, f64, f64) {
+/// What cold servers got of three spans of work.
+struct Cold {
+    /// The most that any got within a span, and the mean of all servers, cold or not, within one.
+    most: f64,
+    mean: f64,
+    /// Their share of all sends.
+    share: f64,
+    /// The most that one got as a part of what the rule lets a server have that carries the mean once warm.
+    part: f64,
+}
+
+/// Gateways and servers, of which the last `cold` have just started; work that stays out 200 ms, every tenth
+/// gateway with `busy` times the others' traffic.
+fn with_cold(gateways: usize, servers: u32, cold: u32, busy: usize) -> Cold {
     let span = 2000;
     let mut w = World::new(settings(gateways as u32), gateways, servers);
     let started = Some(w.now);
     let list = |n: u32| entry(n, ServerState::Ready, started.filter(|_| n >= servers - cold));
-    for g in 0..gateways {
-        w.tell(g, Event::Servers(ListUpdate::Full((0..servers).map(list).collect())));
-    }
+    w.tell_all(&ListUpdate::Full((0..servers).map(list).collect()));
     let (mut most, mut total, mut part): (f64, f64, f64) = (0.0, 0.0, 0.0);
     for window in 0..3u32 {
         let from = w.sends.len();
@@ -284,12 +279,12 @@
         total += sends.len() as f64;
     }
     let cold_sends = w.sends.iter().filter(|s| s.1 >= servers - cold).count() as f64;
-    (most, total / (3.0 * f64::from(servers)), cold_sends / total, part)
+    Cold { most, mean: total / (3.0 * f64::from(servers)), share: cold_sends / total, part }
 }
 
 #[test]
 fn six_in_ten_cold_servers_carry_their_part_and_are_not_pushed_over() {
-    let (most, mean, share, _) = with_cold(100, 60, 36, 1);
+    let Cold { most, mean, share, .. } = with_cold(100, 60, 36, 1);
     // A quarter to seven tenths of a warm one's part, as they warm: a fifth to half of all falls to them.
     assert!(share > 0.2, "{share} of the sends go to 36 of 60 servers");
     // Within the rule's span at most its multiple of what a server carries on the mean, at a warmth of 0.7.
@@ -298,7 +293,7 @@
 
 #[test]
 fn at_full_size_the_busiest_gateways_push_no_cold_server_over_either() {
-    let (_, mean, share, part) = with_cold(300, 200, 120, 5);
+    let Cold { mean, share, part, .. } = with_cold(300, 200, 120, 5);
     assert!(mean > 10.0 && share > 0.2, "{mean} to each on the mean, {share} of all to 120 of 200 servers");
     // The most of 360, some ten each: chance adds up to half. Without the bound and the weight by warmth it is 2.1.
     assert!(part <= 1.5, "a cold server got {part} of what the rule allows in a span");
@@ -306,7 +301,7 @@
 
 #[test]
 fn where_all_servers_are_cold_the_rule_holds_and_work_goes_on() {
-    let (most, mean, share, _) = with_cold(100, 60, 60, 1);
+    let Cold { most, mean, share, .. } = with_cold(100, 60, 60, 1);
     assert_eq!(share, 1.0);
     assert!(mean > 3.0, "{mean} sends in a span to each server");
     assert!(most <= 40.0, "{most} in a span to a server that carries 17 when all work is let in");
