--- a/tests/size_of_fleet.rs
+++ b/tests/size_of_fleet.rs
@@ -284,11 +284,12 @@
 
 #[test]
 fn six_in_ten_cold_servers_carry_their_part_and_are_not_pushed_over() {
-    let Cold { most, mean, share, .. } = with_cold(100, 60, 36, 1);
+    let Cold { most, mean, share, part } = with_cold(100, 60, 36, 1);
     // A quarter to seven tenths of a warm one's part, as they warm: a fifth to half of all falls to them.
     assert!(share > 0.2, "{share} of the sends go to 36 of 60 servers");
     // Within the rule's span at most its multiple of what a server carries on the mean, at a warmth of 0.7.
     assert!(most <= 2.0 * 0.7 * mean * 1.5, "{most} in a span to a cold server, {mean} on the mean to each");
+    assert!(part <= 1.5, "a cold server got {part} of what the rule allows in a span");
 }
 
 #[test]
