Accept newcomers after the round's further attempts have had their descriptors

Seen: submits_in_flight_get_one_answer_each_when_descriptors_run_out ended with '1 served, 1 further attempts' in 7, 8 and 4 of 96 plays, sixteen at a time on one core. A print at each connect showed, in every failed play, a connect that failed for want of descriptors with no idle link and no spare left, in the round that took in the servers' -BUSY. Ruled out: time (900 of 1000 ms were left), the budget of further attempts (it pays for two after six sends), silent servers, a limit lower than the highest descriptor in use.

At fault: program/mod.rs took in the listener with the rest of a round's events and deadlines, before the module's sends were carried out. front.rs:accept closes idle links when descriptors run out, so newcomers took those that the round's ended attempts had just given back, and the further attempts of requests held failed to connect.

--- a/ingress/src/program/mod.rs
+++ b/ingress/src/program/mod.rs
@@ -61,6 +61,8 @@
     standing_due: Option<Duration>,
     /// How the program was started; its file is read again on SIGHUP.
     run: Option<Run>,
+    /// Connections wait at the listener.
+    knocking: bool,
     /// Room for a round's news, kept from round to round.
     ready: Vec<Ready>,
     answers: Vec<((Key, u64), Answer)>,
@@ -148,6 +150,7 @@
             keeper,
             standing_due,
             run: None,
+            knocking: false,
             io,
             core,
             front,
@@ -264,6 +267,11 @@
             }
         }
         self.front.keep_spare(&mut self.io);
+        // After what is held has gone on. Guards against newcomers that take the descriptors which this round's
+        // ended attempts gave back, and leave the further attempts of requests that are held with none.
+        if std::mem::take(&mut self.knocking) {
+            self.front.accept(self.io.limits.round_accepts, &mut self.core, &mut self.io);
+        }
         (self.ready, self.answers) = (ready, answers);
         let idle = self.front.is_empty() && self.core.open_requests() == 0;
         Ok(!(self.phase == Phase::Over || self.phase == Phase::Draining && idle))
@@ -301,7 +309,7 @@
             Party::Link(key) => core.on_link(key, event, io),
             Party::Counter(n, serial) => core.on_counter((n, serial), event, io),
             Party::Watch(serial) => core.on_watch(serial, event, io),
-            Party::Listener => self.front.accept(io.limits.round_accepts, core, io),
+            Party::Listener => self.knocking = true,
             _ => self.on_signal(),
         }
     }
@@ -314,7 +322,10 @@
             Party::Link(key) => core.on_link_due(key, io),
             Party::Counter(n, _) => core.on_counter_due(n, io),
             Party::Watch(_) => core.on_watch_due(io),
-            Party::Listener => self.front.on_listener_due(core, io),
+            Party::Listener => {
+                self.front.on_listener_due(io);
+                self.knocking = true;
+            }
             Party::Report => self.front.on_report_due(),
             Party::Standing => self.on_standing_due(),
             Party::Ready => self.ready_due = None,
--- a/ingress/src/routing/front.rs
+++ b/ingress/src/routing/front.rs
@@ -370,9 +370,8 @@
     }
 
     /// The listener's pause is over.
-    pub fn on_listener_due(&mut self, core: &mut Core, io: &mut Io) {
+    pub fn on_listener_due(&mut self, io: &mut Io) {
         self.doors.go_on(io);
-        self.accept(io.limits.round_accepts, core, io);
     }
 
     /// Ends a connection; `fault` if that speaks against its address.
