Settle the true units that an answer tells on sockets too

On sockets engine.rs:ended told the module of no true units whatever the server said (true_units: None), and attempts.rs:of_attempt passed over the figures on use.

Now the figures' cost is read where the settings say that units are settled afterwards (Domain.PostPaid). What is told twice, is no number, is not above 0 or above the most units of a request leaves the guess as it is. An end is taken once by its attempt's number, so that a second answer settles nothing.

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -51,6 +51,8 @@
     pub outcome: Outcome,
     /// The value, where it was served.
     pub value: Option<V>,
+    /// The request's true units, where its own were a guess and this is the answer that tells.
+    pub true_units: Option<f64>,
     /// The load report that came along.
     pub load: Option<LoadReport>,
 }
@@ -58,7 +60,7 @@
 impl<V> End<V> {
     /// An end with nothing but its outcome.
     pub fn of(outcome: Outcome) -> End<V> {
-        End { outcome, value: None, load: None }
+        End { outcome, value: None, true_units: None, load: None }
     }
 }
 
@@ -286,7 +288,7 @@
             outcome: end.outcome,
             elapsed: now.saturating_sub(out.begun),
             finished,
-            true_units: None,
+            true_units: end.true_units,
             load: end.load,
         }));
         if let Some(value) = served {
--- a/engine/tests/model.rs
+++ b/engine/tests/model.rs
@@ -176,9 +176,14 @@
             account.ran = Some((World::cell(server), account.sent_at));
         }
         let value = (outcome == Outcome::Ok).then_some(id);
-        self.engine.ended(key, attempt, End { outcome, value, load: None }, self.now);
+        self.engine.ended(key, attempt, End { outcome, value, true_units: None, load: None }, self.now);
         // Told again, or of another attempt: passed over.
-        self.engine.ended(key, attempt, End { outcome: Outcome::Ok, value: Some(99), load: None }, self.now);
+        self.engine.ended(
+            key,
+            attempt,
+            End { outcome: Outcome::Ok, value: Some(99), true_units: None, load: None },
+            self.now,
+        );
         self.engine.ended(key, attempt + 1, End::of(Outcome::Full), self.now);
         self.settle();
     }
--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -38,6 +38,8 @@
     pub discard: usize,
     /// Most units of a request.
     pub units: f64,
+    /// Are a request's units only a guess, which the answer puts right?
+    pub post_paid: bool,
     /// Bytes of all requests held.
     pub held_bytes: usize,
     /// Requests held.
@@ -129,6 +131,7 @@
             discard: 128 << 20,
             // An amount on the counter is at most 1e9.
             units: options.most_units().unwrap_or(1e9),
+            post_paid: options.post_paid(),
             held_bytes: memory / 4,
             requests: options.max_open().unwrap_or(20_000),
             pipelined: 1024,
--- a/ingress/src/protocol/report.rs
+++ b/ingress/src/protocol/report.rs
@@ -1,4 +1,4 @@
-//! Load reports: `inflight=7,queue=2,util=0.61`.
+//! Load reports, `inflight=7,queue=2,util=0.61`, and figures on use, `used=37,cost=4`.
 
 use roseyard::LoadReport;
 use std::time::Duration;
@@ -22,9 +22,53 @@
     (load != LoadReport::default()).then_some(load)
 }
 
+/// Reads the true units out of an answer's figures on use. None if they are not told, told twice, or no number
+/// above 0 up to the most that a request may count: then the guess stays.
+pub fn true_units(figures: &[u8], most: f64) -> Option<f64> {
+    let text = std::str::from_utf8(figures).ok()?;
+    let mut told = text.split(',').filter_map(|item| item.trim().strip_prefix("cost="));
+    let (first, second) = (told.next()?, told.next());
+    let units = first.parse::<f64>().ok().filter(|u| *u > 0.0 && *u <= most);
+    units.filter(|_| second.is_none())
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn true_units_are_read_where_they_are_a_count_that_a_request_may_have() {
+        assert_eq!(true_units(b"used=37,cost=4", 8.0), Some(4.0));
+        assert_eq!(true_units(b"cost=0.5", 8.0), Some(0.5));
+        for odd in [
+            "used=37",
+            "",
+            "cost=",
+            "cost=-1",
+            "cost=0",
+            "cost=9",
+            "cost=nan",
+            "cost=inf",
+            "cost=1,cost=2",
+            "xcost=3",
+        ] {
+            assert_eq!(true_units(odd.as_bytes(), 8.0), None, "{odd}");
+        }
+        assert_eq!(true_units(b"cost=1\xff", 8.0), None);
+    }
+
+    proptest! {
+        #[test]
+        fn any_figures_give_no_units_or_some_that_a_request_may_have(
+            noise in proptest::collection::vec(any::<u8>(), 0..24), cost in any::<f64>(), at in 0usize..24,
+        ) {
+            let mut text = noise;
+            let at = at.min(text.len());
+            text.splice(at..at, format!(",cost={cost},").bytes());
+            prop_assert!(true_units(&text, 8.0).is_none_or(|u| u > 0.0 && u <= 8.0));
+        }
+    }
 
     #[test]
     fn known_fields_are_read_and_the_rest_is_passed_over() {
--- a/ingress/src/routing/attempts.rs
+++ b/ingress/src/routing/attempts.rs
@@ -3,7 +3,8 @@
 
 use super::core::Core;
 use super::{Io, Party};
-use crate::protocol::report::report;
+use crate::limits::Limits;
+use crate::protocol::report::{report, true_units};
 use crate::protocol::resp::{self, Value};
 use crate::transport::{connect, is_fd_shortage, Fill, Key, Ready, Stream};
 use roseyard::*;
@@ -56,6 +57,7 @@
 struct Meaning {
     outcome: Outcome,
     value: Option<Vec<u8>>,
+    true_units: Option<f64>,
     load: Option<LoadReport>,
     /// It is no answer that a server gives: the connection is out of step.
     spoilt: bool,
@@ -63,7 +65,7 @@
 
 impl Meaning {
     fn of(outcome: Outcome) -> Meaning {
-        Meaning { outcome, value: None, load: None, spoilt: false }
+        Meaning { outcome, value: None, true_units: None, load: None, spoilt: false }
     }
 
     /// It may have run, and what came cannot be passed on.
@@ -87,12 +89,16 @@
     /// Served is an array of the value, the figures on use and the load report, and nothing else: guards
     /// against passing noise that happens to be a bulk string on as a value. Figures and report that cannot be
     /// read are passed over.
-    fn of_attempt(value: &Value) -> Meaning {
+    fn of_attempt(value: &Value, limits: &Limits) -> Meaning {
         match value {
             Value::Array(Some(items)) => match items.as_slice() {
-                [Value::Bulk(Some(text)), _, load] => {
+                [Value::Bulk(Some(text)), figures, load] => {
                     let load = if let Value::Bulk(Some(load)) = load { report(load) } else { None };
-                    Meaning { value: Some(text.to_vec()), load, ..Meaning::of(Outcome::Ok) }
+                    let true_units = match figures {
+                        Value::Bulk(Some(figures)) if limits.post_paid => true_units(figures, limits.units),
+                        _ => None,
+                    };
+                    Meaning { value: Some(text.to_vec()), true_units, load, ..Meaning::of(Outcome::Ok) }
                 }
                 _ => Meaning::spoilt(),
             },
@@ -339,8 +345,8 @@
                 return self.break_link(key, Outcome::Error, io);
             }
         };
-        let Meaning { outcome, value: served, load, spoilt } = match job.task {
-            Task::Attempt(..) => Meaning::of_attempt(&value),
+        let Meaning { outcome, value: served, true_units, load, spoilt } = match job.task {
+            Task::Attempt(..) => Meaning::of_attempt(&value, &io.limits),
             Task::Probe => Meaning::of_probe(&value),
         };
         if spoilt && !matches!(value, Value::Error(_)) {
@@ -368,7 +374,7 @@
         } else {
             self.close_link(key, io);
         }
-        self.ended(job, server, End { outcome, value: served, load }, io.now);
+        self.ended(job, server, End { outcome, value: served, true_units, load }, io.now);
     }
 
     /// Puts a connection that is up and free into its server's pool.
--- a/ingress/tests/common/mod.rs
+++ b/ingress/tests/common/mod.rs
@@ -301,6 +301,16 @@
         site
     }
 
+    /// The ingress is started anew among the same parties, by this configuration.
+    pub fn start_by(&mut self, text: String) {
+        let clock = Clock::start();
+        let config = Config::parse(text.into(), |_| None).unwrap();
+        self.program = Program::start(&config, &operator(""), clock).unwrap();
+        self.now = clock.now();
+        let watches = self.watches.len();
+        self.until("the watch", |s| s.watches.len() > watches);
+    }
+
     pub fn client(&self) -> End {
         End::connect(self.program.address().unwrap())
     }
--- a/ingress/tests/sockets.rs
+++ b/ingress/tests/sockets.rs
@@ -903,3 +903,37 @@
     site.expect(&mut client, "$1\r\nv\r\n");
     assert_eq!((site.counter.calls.len(), site.watches.len()), (1, 1));
 }
+
+#[test]
+fn true_units_that_an_answer_tells_ride_on_the_customers_next_add_where_units_are_settled_afterwards() {
+    // What the answer tells, and what the next add makes of a guess of 2: at most 4 units a request here.
+    let told = [
+        ("used=37,cost=4", 4.0),
+        ("cost=1", 1.0),
+        ("used=37", 2.0),
+        ("cost=5", 2.0),
+        ("cost=-1", 2.0),
+        ("cost=x", 2.0),
+    ];
+    for settled in [true, false] {
+        let mut site = Site::new(1);
+        let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
+        let domain = format!("\"PostPaid\":{settled},\"SharedCounter\"");
+        site.start_by(text.replace("\"SharedCounter\"", &domain));
+        let mut client = site.client();
+        for (n, (figures, settles_at)) in told.iter().enumerate() {
+            let customer = format!("{:016x}", 500 + n);
+            for (units, total) in [(2, 2.0), (1, if settled { settles_at + 1.0 } else { 3.0 })] {
+                let list = LOAD.replace("units=1", &format!("units={units}"));
+                let ask = String::from_utf8(request("API.READ", 10 + 2 * n as u64 + units, &list)).unwrap();
+                client.send(ask.replace("00000000b4d65521", &customer));
+                let (s, c, _) = site.arrival();
+                assert_eq!(site.counter.totals[&customer], total, "{figures}, settled: {settled}");
+                let answer = format!("*3\r\n$1\r\nv\r\n${}\r\n{figures}\r\n$-1\r\n", figures.len());
+                site.servers[s].ends[c].send(answer);
+                site.expect(&mut client, "$1\r\nv\r\n");
+                site.advance(30);
+            }
+        }
+    }
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -67,6 +67,8 @@
     counter_timeout_ms: f64,
     #[serde(default)]
     most_units: f64,
+    #[serde(default)]
+    post_paid: bool,
     shared_counter: bool,
 }
 
@@ -189,6 +191,11 @@
         Some(self.domain.most_units).filter(|n| *n > 0.0)
     }
 
+    /// Are a request's units only a guess, which the answer puts right?
+    pub fn post_paid(&self) -> bool {
+        self.domain.post_paid
+    }
+
     /// Ingresses in this tier.
     pub fn ingresses(&self) -> u32 {
         self.balancers
