Let tries ask a counter that is near its own least time, and drop its suspicion

That counter answered all calls, in 6.3 to 16.2 ms (10th and 99th percentile), within the wait of 16.7 ms. counter_heard let the share of asking tries rise only below a third of the wait, which this counter never reaches, and took 30% off for each answer above it: a ratchet that ends at the floor. What the share has to follow is the counter's crowding, not the aim.

Now the least time of its answers is kept, forgotten within ten seconds, and the share rises while answers take less than that and a third of what is left of the wait. In its place a line tells when fewer than half of the tries ask.

--- a/src/control.rs
+++ b/src/control.rs
@@ -22,6 +22,7 @@
 const PACE_DOWN: f64 = 0.7;
 const PACE_UP: f64 = 1.3;
 const PACE_LEAST: f64 = 0.2;
+const LEAST_TAU: f64 = 10.0; // In so long the counter's least time is forgotten.
 /// A rare customer's try without a total passes if it is likely enough to be inside the quota: a guess for
 /// first tries and for those that a client makes again (most customers stay inside, and the refused come
 /// again), which weighs as so many totals; totals older than so many fade.
@@ -321,8 +322,9 @@
     lateness: f64, // Mean answer time as a share of the aim, and when last told.
     late_at: f64,
     answers: f64,
-    counter_time: f64, // Mean time of the counter's answers.
-    suspect: bool,
+    least: f64, // Least time of the counter's answers, forgotten over time, and when last told.
+    counter_at: f64,
+    short: bool,
     pace: f64, // Share of tries that ask the counter.
     retries: f64,
     refusing: f64, // Share of the openings that were refused, and when a refusing server is tried again.
@@ -464,11 +466,9 @@
             ledger.calls.push_back(call);
             let (name, lifetime) = (CountName(r.customer.0), dur(ledger.window));
             out.push(Action::Count { name, add, lifetime });
-            if !self.flow.suspect {
-                return self.alarm(t + self.wait, Alarm::Decide(r.request));
-            }
+            return self.alarm(t + self.wait, Alarm::Decide(r.request));
         }
-        self.decide_alone(r.request, !called, t, out);
+        self.decide_alone(r.request, true, t, out);
     }
 
     /// Decides without a total, by the ledger. `owed`: no add is out for it.
@@ -525,22 +525,22 @@
     }
 
     /// Guards against a counter that is slow, silent, refusing or short of calls: the share of tries that ask
-    /// falls with each failure: a jam is not fed. Harm: after a recovery too few ask for some seconds.
+    /// falls with each failure: a jam is not fed. It grows while answers take little more than the counter's
+    /// own least time, however near to the wait that is. Harm: after a recovery too few ask for some seconds.
     fn counter_heard(&mut self, ok: bool, took: f64, t: f64, out: &mut Vec<Action>) {
         if t - took < self.flow.resumed {
             return;
         }
-        let took = if ok { took } else { took.max(2.0 * self.wait) };
-        self.flow.counter_time += (took - self.flow.counter_time) * if self.flow.suspect { 0.3 } else { 0.1 };
-        self.flow.pace = match ok && took <= self.wait {
-            true if took < self.wait / 3.0 => (self.flow.pace * PACE_UP).min(1.0),
-            true => self.flow.pace,
-            false => (self.flow.pace * PACE_DOWN).max(PACE_LEAST),
-        };
-        let suspect = self.flow.counter_time > self.wait * if self.flow.suspect { 0.5 } else { 1.0 };
-        if suspect != self.flow.suspect {
-            self.flow.suspect = suspect;
-            let what = if suspect { "suspect: deciding from the ledger" } else { "trusted again" };
+        let took = if ok { took } else { f64::MAX };
+        let since = t - std::mem::replace(&mut self.flow.counter_at, t);
+        self.flow.least = took.min(self.flow.least + self.wait * since / LEAST_TAU);
+        let easy = self.flow.least + (self.wait - self.flow.least) / 3.0;
+        let change = if took > self.wait { PACE_DOWN } else { PACE_UP.powi(i32::from(took < easy)) };
+        self.flow.pace = (self.flow.pace * change).clamp(PACE_LEAST, 1.0);
+        let short = self.flow.pace < if self.flow.short { 1.0 } else { 0.5 };
+        if short != self.flow.short {
+            self.flow.short = short;
+            let what = if short { "short: fewer than half of the tries ask" } else { "asked by all tries" };
             out.push(Action::Log(format!("counter {what}")));
         }
     }
