Bound the load by each class's own aim, at 0.3 of it

Now the answers a second are counted, and a class is held to them times its own aim; its place among the others is its worth for the time it takes alone (the floor that grew with short answers measured nothing and goes). The share of the aim goes from 0.4 to 0.3: with exponential times one answer in 12 is late at 0.4, one in 28 at 0.3, and a late one earns nothing or a fifth.

--- a/src/control.rs
+++ b/src/control.rs
@@ -50,7 +50,7 @@
 const RETRY_MOST: f64 = 20.0;
 /// Share of the aim that the mean answer may take before new work is refused: at half about one in ten is
 /// late.
-const LOAD_OF_AIM: f64 = 0.4;
+const LOAD_OF_AIM: f64 = 0.3;
 const SEEN_BY: f64 = 4.0; // Up to so many gateways, what each has out itself tells the load of servers.
 const TIP_USED: f64 = 0.8; // Of the multiple that a cold server bears.
 const OUTSIDE: f64 = 0.01; // Servers beyond this gateway's aperture are tried where those inside fail.
@@ -592,12 +592,11 @@
         let mine = density((&self.settings.classes[class], &self.means[class])) / top;
         // Old lateness fades: a gateway that is seldom asked would go on refusing its few.
         let lateness = self.flow.lateness * ((self.flow.late_at + 1.0 - t).min(0.0) / LATE_TAU).exp();
-        let low = (LEAST_CLASS * LOAD_OF_AIM / lateness.max(EPS)).clamp(LEAST_CLASS, 0.5);
-        let share = LOAD_OF_AIM * (low + (1.0 - low) * mine);
+        let share = LOAD_OF_AIM * mine.max(LEAST_CLASS);
         let least = if self.flow.peak > 0.0 { LEAST_OUT } else { 1.5 * LEAST_OUT };
         let floor = least * live().count() as f64 / f64::from(self.settings.gateways);
         let ease = (share / lateness.max(EPS)).min(1.0);
-        let bound = rate * share * ease;
+        let bound = rate * secs(self.settings.classes[class].aim) * share * ease;
         // It swings by about its root: while answers are quick a few more do no harm, else a draw decides. Of
         // many gateways one's own swing tells nothing of the servers: refused for it, customers come again.
         let most = bound.max(floor);
@@ -846,7 +845,7 @@
                 s.slowness = (s.slowness + (ratio - s.slowness) / (8.0 + s.answers)).clamp(0.5, 2.0);
             }
             let dt = t - self.flow.at;
-            self.flow.rate = self.flow.rate * (-dt / RATE_TAU).exp() + aim / RATE_TAU;
+            self.flow.rate = self.flow.rate * (-dt / RATE_TAU).exp() + 1.0 / RATE_TAU;
             self.flow.peak = (self.flow.peak * (-dt / PEAK_TAU).exp()).max(self.flow.rate);
             self.flow.at = t;
         }
--- a/tests/servers.rs
+++ b/tests/servers.rs
@@ -36,6 +36,27 @@
     assert!(w.logs.iter().any(|l| l == "server 3 silent"));
 }
 
+#[test]
+fn of_classes_that_earn_alike_the_one_with_the_shorter_aim_is_refused_first() {
+    // What a request of 1 s can wait for makes one of 400 ms late: held to one bound, either is served badly.
+    let held = |class: usize| {
+        let mut s = settings(1);
+        (s.classes[0].aim, s.classes[2].aim) = (ms(400), ms(1000));
+        let mut w = World::new(s, 1, 5);
+        flow(&mut w, 0, 100, &[]);
+        flow(&mut w, 2, 100, &[]);
+        let before = w.sends.len();
+        for k in 0..400 {
+            w.request(0, class, 0, 50_000 + k);
+            w.count_all(CountMode::Answered);
+        }
+        w.sends.len() - before
+    };
+    let (short, long) = (held(0), held(2));
+    assert!(short >= 10, "{short} of 400 at once");
+    assert!(long >= 2 * short && long < 400, "{long} against {short} of 400 at once");
+}
+
 #[test]
 fn a_request_stuck_on_a_silent_server_gets_a_second_copy() {
     let mut w = World::new(settings(1), 1, 5);
