Keep the pool under a ceiling over a window's edge, and refill it for quiet customers too

Now the pool of few gateways refills always, and what is left of it is kept over an edge, less twice what the others are taken to have used unseen; it never begins above half of its share.

--- a/src/control.rs
+++ b/src/control.rs
@@ -36,8 +36,7 @@
 const POOLED_OF_MANY: f64 = 0.25;
 const SLACK_USED: f64 = 0.8; // Of the ceiling's slack; the rest covers rounding on the counter.
 /// Mean answers of waiting, summed over what is out, until a server counts as silent: for exponential work
-/// the chance of a false alarm is about exp(-9). It then gets a trial so often, with a request that may be
-/// copied.
+/// a false alarm has a chance of about exp(-9). It then gets a trial so often, with what may be copied.
 const SILENCE: f64 = 9.0;
 const TRIAL_AFTER: f64 = 2.0;
 /// A copy or a move is thought of after so many mean answers, or this share of the aim: later it would be
@@ -149,7 +148,7 @@
         if let Some((rate, depth)) = self.ceiling {
             let (pooled, n) = (self.pooled(), self.spread);
             self.alone = (self.alone + rate * (1.0 - pooled) / n * dt).min(depth * (1.0 - pooled) / n);
-            if self.seen >= RARE {
+            if !self.rare() {
                 self.pool = (self.pool + rate * pooled * dt).min(depth * pooled);
             }
         }
@@ -174,19 +173,18 @@
         self.assumed = 0.0;
         if fresh {
             (self.known, self.life) = (0.0, Some(now));
-            // Seen rarely: so much passes of a life; twice that (an edge) and all alone parts fill it. Few
-            // split it: each that starts anew, while the counter is empty, would spend it once more.
-            let split = if self.spread > FEW { 2.0 } else { 2.0 * self.spread };
-            let first = self.ceiling.map_or(0.0, |(_, depth)| depth * self.pooled() / split);
-            self.pool = if self.seen < RARE { first } else { 0.0 };
+            // Seen rarely: so much of a life; twice (an edge) and all alone parts fill it. Few split it, and
+            // keep what is left less the others' unseen use: each new start would spend it once more.
+            let half = self.ceiling.map_or(0.0, |(_, depth)| depth * self.pooled() / 2.0);
+            let kept = self.pool - 2.0 * self.others * (end - self.answered);
+            let (split, kept) = if self.spread > FEW { (1.0, 0.0) } else { (self.spread, kept) };
+            self.pool = kept.clamp(if self.seen < RARE { half / split } else { 0.0 }, half);
             self.carry = self.carry.max(0.0);
         }
         let others = (total - self.known - add).max(0.0);
         self.known = total;
         self.pool -= others + add;
-        if newcomer {
-            self.level = self.burst;
-        }
+        self.level = if newcomer { self.burst } else { self.level };
         // The others' refused tries stand in the total until their next add: the level may owe that much.
         self.level = (self.level - others).max(-self.spread.min(self.burst));
         let dt = (now - self.answered).max(0.0);
