--- a/ingress/tests/sockets.rs
+++ b/ingress/tests/sockets.rs
@@ -998,3 +998,43 @@
         assert!(after <= most, "{what:?}, grace {grace} ms: last send {after:?} after it was told");
     }
 }
+
+#[test]
+fn what_must_never_run_twice_is_sent_once_and_answered_once_however_its_attempt_ends() {
+    const COMMIT: &str = "c=submit,t=seedling,d=3000,units=1,spread=1,first=0";
+    for end in ["reset", "half an answer", "spoilt", "error", "silence", "sigterm"] {
+        let mut site = Site::new(2);
+        let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
+        site.start_by(text.replace("\"Effect\":\"idempotency_key\"", "\"Effect\":\"non_idempotent\""));
+        let mut client = site.client();
+        client.send(request("API.WRITE", 1, COMMIT));
+        let (s, c, _) = site.arrival();
+        match end {
+            "reset" => site.servers[s].ends.clear(),
+            "half an answer" => {
+                site.servers[s].ends[c].send("*3\r\n$1\r\n");
+                site.servers[s].ends[c].hang_up();
+            }
+            "spoilt" => site.servers[s].ends[c].send("*3\r\n:1\r\n$-1\r\n$-1\r\n"),
+            "error" => site.servers[s].ends[c].send("-ERR failed used=37\r\n"),
+            "sigterm" => {
+                site.program.leave();
+                site.advance(10);
+                site.servers[s].ends.clear();
+            }
+            // Its aim and its deadline pass.
+            _ => {}
+        }
+        for _ in 0..40 {
+            site.advance(100);
+            client.read();
+            assert_eq!(site.servers[1 - s].command(), None, "{end}: sent again");
+        }
+        assert_eq!(
+            client.text(),
+            "-ERR failed\r\n",
+            "{end}: one final answer, and none that calls it harmless"
+        );
+        assert_eq!(site.servers[s].command(), None, "{end}: sent again");
+    }
+}
