Word the deployments' rows by what differs, and a customer's own request in one place

Seen on rereading the change: the rows of tests/deployments.rs repeated all eight fields where two or three differ, the ways a counter call may end stood twice there, and five places of ingress/tests put a customer into a request by replacing text in it, each in its own words.

Rows now build on a plain and a settled one, MODES stands once, and common::request_of takes the customer; request calls it.

--- a/ingress/tests/admission.rs
+++ b/ingress/tests/admission.rs
@@ -195,8 +195,7 @@
     let mut refused = 0;
     for (n, end) in newcomers.iter_mut().enumerate() {
         // Customers of their own, so that no quota refuses them.
-        let text = String::from_utf8(load(100 + n as u64)).unwrap();
-        end.send(text.replace("00000000b4d65521", &format!("{:016x}", 500 + n)));
+        end.send(request_of(500 + n as u64, "API.READ", 100 + n as u64, LOAD));
         let held = site.program.open().0;
         site.until("it is held or refused", |s| {
             end.read();
@@ -309,8 +308,7 @@
         let pid = Pid::from_child(&running.0);
         let mut clients: Vec<End> = (0..6).map(|_| End::connect(to)).collect();
         for (n, client) in clients.iter_mut().enumerate() {
-            let text = String::from_utf8(request("API.WRITE", 1 + n as u64, SUBMIT)).unwrap();
-            client.send(text.replace("00000000b4d65521", &format!("{:016x}", 500 + n)));
+            client.send(request_of(500 + n as u64, "API.WRITE", 1 + n as u64, SUBMIT));
         }
         let mut out = Vec::new();
         around.until("six submits", |a| {
--- a/ingress/tests/common/mod.rs
+++ b/ingress/tests/common/mod.rs
@@ -253,9 +253,14 @@
 
 /// A request as clients word it.
 pub fn request(name: &str, id: u64, list: &str) -> Vec<u8> {
+    request_of(0xb4d6_5521, name, id, list)
+}
+
+/// One of this customer.
+pub fn request_of(customer: u64, name: &str, id: u64, list: &str) -> Vec<u8> {
     let mut out = Vec::new();
     resp::put_array(&mut out, 4);
-    for word in [name, "00000000b4d65521", &format!("{id:016x}"), list] {
+    for word in [name, &format!("{customer:016x}"), &format!("{id:016x}"), list] {
         resp::put_bulk(&mut out, word.as_bytes());
     }
     out
--- a/ingress/tests/descriptors.rs
+++ b/ingress/tests/descriptors.rs
@@ -16,8 +16,7 @@
     let mut clients: Vec<End> = (0..6).map(|_| End::connect(to)).collect();
     let mut out = Vec::new();
     for (n, client) in clients.iter_mut().enumerate() {
-        let text = String::from_utf8(request("API.WRITE", 1 + n as u64, SUBMIT)).unwrap();
-        client.send(text.replace("00000000b4d65521", &format!("{:016x}", 500 + n)));
+        client.send(request_of(500 + n as u64, "API.WRITE", 1 + n as u64, SUBMIT));
         out.push(site.arrival());
     }
     // In this order the ingress hears of the answers first.
--- a/ingress/tests/sockets.rs
+++ b/ingress/tests/sockets.rs
@@ -926,8 +926,7 @@
             let customer = format!("{:016x}", 500 + n);
             for (units, total) in [(2, 2.0), (1, if settled { settles_at + 1.0 } else { 3.0 })] {
                 let list = LOAD.replace("units=1", &format!("units={units}"));
-                let ask = String::from_utf8(request("API.READ", 10 + 2 * n as u64 + units, &list)).unwrap();
-                client.send(ask.replace("00000000b4d65521", &customer));
+                client.send(request_of(500 + n as u64, "API.READ", 10 + 2 * n as u64 + units, &list));
                 let (s, c, _) = site.arrival();
                 assert_eq!(site.counter.totals[&customer], total, "{figures}, settled: {settled}");
                 let answer = format!("*3\r\n$1\r\nv\r\n${}\r\n{figures}\r\n$-1\r\n", figures.len());
@@ -982,8 +981,7 @@
                 end.send(format!("{head}{:x}\r\n{drain}\r\n", drain.len()));
                 site.until("the news", |s| s.program.list_version() == 42);
             }
-            let customer = format!("{:016x}", 700 + id);
-            client.send(String::from_utf8(load(id)).unwrap().replace("00000000b4d65521", &customer));
+            client.send(request_of(700 + id, "API.READ", id, LOAD));
             let (s, c, _) = site.arrival();
             last = if s == 0 { site.now } else { last };
             site.servers[s].ends[c].send(served("v"));
--- a/tests/deployments.rs
+++ b/tests/deployments.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 
 const SEEDS: u64 = 600;
+/// All that may become of a call to the counter.
+const MODES: [CountMode; 4] =
+    [CountMode::Answered, CountMode::LostBefore, CountMode::LostAfter, CountMode::Refused];
 
 /// One draw of a flood on one customer's ceiling through three gateways: uneven traffic, a counter that answers late,
 /// loses calls before or after they count, turns away and comes back empty, window edges, and restarts of one gateway
@@ -27,14 +30,13 @@
     s.plans[1] = ceilings;
     let mut w = World::seeded(s, 3, 5, seed);
     w.strict = false;
-    let usual = [CountMode::Answered, CountMode::LostBefore, CountMode::LostAfter, CountMode::Refused];
     let pressed = rng.f64();
     for _ in 0..800 {
         let g = if rng.f64() < 0.5 { 0 } else { rng.usize(0..3) };
         w.request_of(g, 0, 1, 1, f64::from(rng.u32(1..=8)), ms(1500));
         w.advance(ms(rng.u64(0..30)));
         while w.counts.len() > rng.usize(0..6) {
-            let mode = if rng.f64() < pressed { usual[rng.usize(0..4)] } else { CountMode::Answered };
+            let mode = if rng.f64() < pressed { MODES[rng.usize(0..4)] } else { CountMode::Answered };
             w.count(rng.usize(0..8), mode);
         }
         w.end(rng.usize(0..8), Outcome::Ok);
@@ -127,70 +129,30 @@
     grace: u64,
 }
 
+/// Few gateways before servers in one hall, no second copies.
+const PLAIN: Row = Row {
+    gateways: 2,
+    counter: true,
+    ceiling: false,
+    settles: false,
+    halls: 1,
+    copies: false,
+    probes: true,
+    grace: 2000,
+};
+
+/// Few before servers in two halls: units settled afterwards, a ceiling, second copies.
+const SETTLED: Row =
+    Row { gateways: 3, ceiling: true, settles: true, halls: 2, copies: true, grace: 1000, ..PLAIN };
+
 const ROWS: [Row; 6] = [
-    // Few gateways before servers in one hall, no second copies.
-    Row {
-        gateways: 2,
-        counter: true,
-        ceiling: false,
-        settles: false,
-        halls: 1,
-        copies: false,
-        probes: true,
-        grace: 2000,
-    },
-    // Few before servers in two halls: units settled afterwards, a ceiling, second copies.
-    Row {
-        gateways: 3,
-        counter: true,
-        ceiling: true,
-        settles: true,
-        halls: 2,
-        copies: true,
-        probes: true,
-        grace: 1000,
-    },
-    Row {
-        gateways: 2,
-        counter: true,
-        ceiling: true,
-        settles: true,
-        halls: 2,
-        copies: false,
-        probes: false,
-        grace: 1000,
-    },
-    Row {
-        gateways: 12,
-        counter: true,
-        ceiling: true,
-        settles: true,
-        halls: 2,
-        copies: true,
-        probes: true,
-        grace: 1000,
-    },
-    Row {
-        gateways: 300,
-        counter: true,
-        ceiling: true,
-        settles: false,
-        halls: 1,
-        copies: false,
-        probes: true,
-        grace: 2000,
-    },
+    PLAIN,
+    SETTLED,
+    Row { gateways: 2, copies: false, probes: false, ..SETTLED },
+    Row { gateways: 12, ..SETTLED },
+    Row { gateways: 300, ceiling: true, ..PLAIN },
     // No counter at all.
-    Row {
-        gateways: 12,
-        counter: false,
-        ceiling: false,
-        settles: false,
-        halls: 3,
-        copies: true,
-        probes: false,
-        grace: 0,
-    },
+    Row { gateways: 12, counter: false, halls: 3, copies: true, probes: false, grace: 0, ..PLAIN },
 ];
 
 impl Row {
@@ -229,7 +191,6 @@
         Outcome::ConnectFailed,
         Outcome::Reset,
     ];
-    let modes = [CountMode::Answered, CountMode::LostBefore, CountMode::LostAfter, CountMode::Refused];
     for _ in 0..1500 {
         let (g, class) = (rng.usize(0..row.gateways), rng.usize(0..4));
         let (plan, customer) = (rng.usize(0..2), rng.u64(0..4));
@@ -237,7 +198,7 @@
         w.request_of(g, class, plan, customer, units, ms(rng.u64(100..1900)));
         w.advance(ms(rng.u64(0..15)));
         while w.counts.len() > rng.usize(0..10) {
-            w.count(rng.usize(0..20), modes[rng.usize(0..8) / 2 % 4]);
+            w.count(rng.usize(0..20), MODES[rng.usize(0..8) / 2]);
         }
         let truth = row.settles.then(|| f64::from(rng.u32(1..=8)));
         w.end_some(rng.usize(0..30), outcomes[rng.usize(0..outcomes.len())], truth);
