Learn which rested links are dead, and reopen lost counter links at once

Ruled out: a time common to the settings (15 s), ends that could have been seen before the write (none was), and single servers (all nine alike). At fault: Core::rested (routing/attempts.rs), which takes the latest used link whatever became of its like.

And of 5,300 calls to the counter 700 ended with their connection, in 0.1 ms; each was taken for a slow counter (counter_heard, share of asking tries times 0.7) and closed the way to it for 100 ms (Wire::fail), so that 0.25 of the tries asked.

Now engine/src/links.rs learns the chance of a reset by rest against that on new connections; a request that must not run twice goes on a new link from 0.05 more, any from 0.15 more, and such links are closed. A counter connection that has answered is opened anew at once, and a call cut off within the wait leaves the share of asking tries alone.

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -137,6 +137,8 @@
     owner: Option<O>,
     command: C,
     bytes: usize,
+    /// Does its class bear being sent twice?
+    repeatable: bool,
     out: Option<Out>,
     /// The driver's own name for what carries the attempt.
     carrier: Option<Key>,
@@ -149,6 +151,8 @@
 /// Requests, attempts and servers around the module.
 pub struct Engine<O, C, V> {
     gateway: Gateway,
+    /// Of each class: may its requests be sent twice?
+    repeatable: Vec<bool>,
     events: VecDeque<Event>,
     outputs: VecDeque<Output<O, V>>,
     actions: Vec<Action>,
@@ -165,7 +169,9 @@
     pub fn new(mut settings: Settings, seed: u64, bounds: Bounds) -> Result<Engine<O, C, V>, SettingsError> {
         // One outstanding attempt a request, whatever the platform would allow.
         settings.limits.duplicates = false;
+        let repeatable = settings.classes.iter().map(|c| c.effect == Effect::Safe).collect();
         Ok(Engine {
+            repeatable,
             gateway: Gateway::new(settings, seed)?,
             events: VecDeque::new(),
             outputs: VecDeque::new(),
@@ -199,6 +205,11 @@
         self.requests.get(request).map(|r| &r.command)
     }
 
+    /// May a request be sent twice, whatever became of it the first time?
+    pub fn repeatable(&self, request: Key) -> bool {
+        self.requests.get(request).is_some_and(|r| r.repeatable)
+    }
+
     /// When [`Engine::on_due`] wants to be called next.
     pub fn due(&self) -> Option<Duration> {
         self.due
@@ -220,6 +231,7 @@
             owner: Some(ask.owner),
             command: ask.command,
             bytes: ask.bytes,
+            repeatable: self.repeatable.get(ask.class).is_some_and(|r| *r),
             out: None,
             carrier: None,
             attempts: 0,
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -15,10 +15,12 @@
 
 mod engine;
 mod fleet;
+mod links;
 mod list;
 mod slots;
 
 pub use engine::{Answer, Ask, Bounds, End, Engine, Full, Output};
 pub use fleet::{Fleet, Server};
+pub use links::{Links, Rested};
 pub use list::{List, Target};
 pub use slots::{Key, Slots};
--- /dev/null
+++ b/engine/src/links.rs
@@ -0,0 +1,146 @@
+//! How likely a connection that has rested is to be dead when the next request is written to it.
+//!
+//! A server may close a connection that rests long before the time in the settings, and its end may reach us only
+//! after the next request was written: that request has then failed, and may have run. Nothing announces it, so it
+//! is learned from what became of the requests: by the time that the connection had rested, against what becomes of
+//! requests on new connections. Resets that fall on both alike cost the comparison nothing.
+
+use std::time::Duration;
+
+/// Rests are told apart by their doubling from here on; shorter ones are one kind.
+const FIRST: Duration = Duration::from_millis(20);
+const RESTS: usize = 12;
+/// What is known fades over so long: what was held to be dead is tried again after some of these, at the cost of a
+/// few requests, and servers that have mended are found out.
+const FADES: f64 = 10.0;
+/// What is known of the next shorter rest weighs as so many requests: guards against one reset among few requests.
+const NEIGHBOUR: f64 = 8.0;
+/// A rested connection is passed over for a new one if it is likelier to fail by more than this: for requests that
+/// must not be sent twice, and for those that may, which lose only the time of one more attempt.
+const BEAR_ONCE: f64 = 0.05;
+const BEAR_REPEATABLE: f64 = 0.15;
+
+/// Requests of one kind, fading.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    all: f64,
+    reset: f64,
+}
+
+/// What is to be done with a connection that has rested.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rested {
+    /// Write to it.
+    Use,
+    /// Leave it to requests that may be sent twice.
+    Leave,
+    /// Close it, and each that has rested longer.
+    Close,
+}
+
+/// What has been learned of connections that rest. A fixed number of figures, whatever the number of servers.
+#[derive(Clone, Debug, Default)]
+pub struct Links {
+    /// On new connections, then by rest.
+    seen: [Seen; RESTS + 1],
+    at: Duration,
+}
+
+/// Which figure a rest falls to.
+fn kind(rest: Duration) -> usize {
+    let doublings = (rest.as_secs_f64() / FIRST.as_secs_f64()).max(1.0).log2();
+    1 + (doublings as usize).min(RESTS - 1)
+}
+
+impl Links {
+    /// Tells what became of a request at this time: on a connection that had rested so long, or on a new one; and
+    /// whether the connection broke after it was written.
+    pub fn told(&mut self, rest: Option<Duration>, reset: bool, now: Duration) {
+        let fade = (-now.saturating_sub(self.at).as_secs_f64() / FADES).exp();
+        self.at = self.at.max(now);
+        for seen in &mut self.seen {
+            (seen.all, seen.reset) = (seen.all * fade, seen.reset * fade);
+        }
+        let seen = &mut self.seen[rest.map_or(0, kind)];
+        seen.all += 1.0;
+        seen.reset += f64::from(u8::from(reset));
+    }
+
+    /// The chance that a request on a new connection is reset, and one on a connection that has rested so long.
+    pub fn risks(&self, rest: Duration, now: Duration) -> (f64, f64) {
+        let fade = (-now.saturating_sub(self.at).as_secs_f64() / FADES).exp();
+        let mut risk = 0.0;
+        let mut new = 0.0;
+        for (n, seen) in self.seen.iter().enumerate().take(kind(rest) + 1) {
+            risk = (seen.reset * fade + NEIGHBOUR * risk) / (seen.all * fade + NEIGHBOUR);
+            if n == 0 {
+                new = risk;
+            }
+        }
+        (new, risk)
+    }
+
+    /// What to do with a connection that has rested so long, for a request that may be sent twice or not.
+    pub fn choose(&self, rest: Duration, repeatable: bool, now: Duration) -> Rested {
+        let (new, risk) = self.risks(rest, now);
+        match risk - new {
+            more if more <= BEAR_ONCE || repeatable && more <= BEAR_REPEATABLE => Rested::Use,
+            more if more <= BEAR_REPEATABLE => Rested::Leave,
+            _ => Rested::Close,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: fn(u64) -> Duration = Duration::from_millis;
+
+    /// Requests for so many seconds, a hundred a second: half on new connections, half on rested ones.
+    fn play(links: &mut Links, seconds: u64, dead: impl Fn(Option<Duration>, u64) -> bool) {
+        for n in 0..seconds * 100 {
+            let rest = (n % 2 == 0).then(|| MS(20 + n * 37 % 600));
+            links.told(rest, dead(rest, n), links.at + MS(10));
+        }
+    }
+
+    #[test]
+    fn connections_that_die_at_rest_are_passed_over_and_young_ones_used() {
+        let mut links = Links::default();
+        play(&mut links, 20, |rest, n| rest.is_some_and(|r| r >= MS(160)) && n % 5 < 2);
+        let now = links.at;
+        assert_eq!(links.choose(MS(30), false, now), Rested::Use);
+        assert_eq!(links.choose(MS(130), false, now), Rested::Use);
+        assert_eq!(links.choose(MS(400), false, now), Rested::Close);
+        assert_eq!(links.choose(MS(400), true, now), Rested::Close);
+        assert_eq!(links.choose(MS(20_000), true, now), Rested::Close, "older is no better");
+    }
+
+    #[test]
+    fn resets_that_fall_on_all_alike_change_nothing() {
+        let mut links = Links::default();
+        play(&mut links, 20, |_, n| n / 2 % 8 == 0);
+        for rest in [30, 100, 300, 600] {
+            assert_eq!(links.choose(MS(rest), true, links.at), Rested::Use, "{rest} ms");
+        }
+    }
+
+    #[test]
+    fn what_may_be_sent_twice_bears_more() {
+        let mut links = Links::default();
+        play(&mut links, 60, |rest, n| rest.is_some() && n % 20 < 2);
+        assert_eq!(links.choose(MS(300), false, links.at), Rested::Leave);
+        assert_eq!(links.choose(MS(300), true, links.at), Rested::Use);
+    }
+
+    #[test]
+    fn a_single_reset_is_no_lesson_and_old_lessons_fade() {
+        let mut links = Links::default();
+        links.told(Some(MS(100)), true, MS(1));
+        assert_eq!(links.choose(MS(100), true, MS(1)), Rested::Use);
+        play(&mut links, 20, |rest, _| rest.is_some_and(|r| r >= MS(160)));
+        assert_eq!(links.choose(MS(300), true, links.at), Rested::Close);
+        assert_eq!(links.choose(MS(300), false, links.at + MS(60_000)), Rested::Use, "tried again");
+    }
+}
--- a/ingress/src/routing/attempts.rs
+++ b/ingress/src/routing/attempts.rs
@@ -9,7 +9,7 @@
 use crate::transport::{connect, is_fd_shortage, Fill, Key, Ready, Stream};
 use roseyard::*;
 use roseyard_admission::Use;
-use roseyard_engine::End;
+use roseyard_engine::{End, Rested};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -21,6 +21,8 @@
     address: SocketAddr,
     state: State,
     used: Duration,
+    /// How long it had rested when the job at hand was written; none on a new connection.
+    rest: Option<Duration>,
     due: Option<Duration>,
 }
 
@@ -147,7 +149,11 @@
         if !self.timely(server, &job, io.now) {
             return self.ended(job, server, End::of(Outcome::Moot), io.now);
         }
-        if let Some(key) = self.rested(server, io) {
+        let repeatable = match job.task {
+            Task::Attempt(request, _) => self.life.repeatable(request),
+            Task::Probe => true,
+        };
+        if let Some(key) = self.rested(server, repeatable, io) {
             return self.write(key, job, io);
         }
         let Some(address) = self.life.address(server) else {
@@ -168,8 +174,15 @@
             return self.ended(job, server, End::of(Outcome::ConnectFailed), io.now);
         };
         let state = State::Connecting(job);
-        let key =
-            self.links.insert_with(|_| Link { stream, server, address, state, used: io.now, due: None });
+        let key = self.links.insert_with(|_| Link {
+            stream,
+            server,
+            address,
+            state,
+            used: io.now,
+            rest: None,
+            due: None,
+        });
         if let Some(link) = self.links.get_mut(key) {
             let at = (io.now + io.limits.connect).min(job.give_up);
             io.deadlines.set(&mut link.due, Some(at), Party::Link(key));
@@ -181,20 +194,27 @@
         self.occupy(job, Some(key));
     }
 
-    /// Takes a connection out of a server's pool: the latest used that has rested. Guards against a second
-    /// answer, noise or an end that follows an answer: read as the next answer it would be another's value, and
-    /// a request written before an end was seen may have run.
-    fn rested(&mut self, server: ServerId, io: &mut Io) -> Option<Key> {
+    /// Takes a connection out of a server's pool: the latest used that has rested, unless it is likely to be dead
+    /// by now. Guards against a second answer, noise or an end that follows an answer: read as the next answer it
+    /// would be another's value, and a request written before an end was seen may have run.
+    fn rested(&mut self, server: ServerId, repeatable: bool, io: &mut Io) -> Option<Key> {
         loop {
             let pool = &self.pools.get(&server)?.idle;
             let rested = |k: &Key| self.links.get(*k).is_some_and(|l| l.used + io.limits.link_rest <= io.now);
             let at = pool.iter().rposition(rested)?;
             let key = pool[at];
-            if self.links.get(key).is_some_and(|l| l.stream.quiet()) {
-                self.pools.get_mut(&server)?.idle.remove(at);
-                return Some(key);
+            let link = self.links.get(key)?;
+            let rest = io.now.saturating_sub(link.used);
+            let choice =
+                if link.stream.quiet() { self.rests.choose(rest, repeatable, io.now) } else { Rested::Close };
+            match choice {
+                Rested::Use => {
+                    self.pools.get_mut(&server)?.idle.remove(at);
+                    return Some(key);
+                }
+                Rested::Leave => return None,
+                Rested::Close => self.close_link(key, io),
             }
-            self.close_link(key, io);
         }
     }
 
@@ -220,6 +240,7 @@
     fn write(&mut self, key: Key, job: Job, io: &mut Io) {
         let Some(link) = self.links.get_mut(key) else { return };
         self.idle.remove(&(link.used, key));
+        link.rest = matches!(link.state, State::Idle).then(|| io.now.saturating_sub(link.used));
         link.state = State::Busy(job);
         link.used = io.now;
         io.deadlines.set(&mut link.due, Some(job.give_up), Party::Link(key));
@@ -242,6 +263,9 @@
     fn broken(&mut self, key: Key, io: &mut Io) {
         let Some(link) = self.links.get(key) else { return };
         let sent = matches!(link.state, State::Busy(_)) && link.stream.unwritten() == 0;
+        if sent {
+            self.rests.told(link.rest, true, io.now);
+        }
         self.break_link(key, if sent { Outcome::Reset } else { Outcome::ConnectFailed }, io);
     }
 
@@ -367,6 +391,7 @@
         }
         link.stream.take(used);
         let server = link.server;
+        self.rests.told(link.rest, false, io.now);
         // Whole and alone, or the connection is of no further use.
         let clean = !spoilt && link.stream.input().is_empty() && link.stream.unwritten() == 0;
         if clean {
--- a/ingress/src/routing/core.rs
+++ b/ingress/src/routing/core.rs
@@ -53,6 +53,8 @@
     answers: Vec<(Owner, Answer)>,
     pub(super) links: Slots<Link>,
     pub(super) pools: HashMap<ServerId, Pool>,
+    /// What has been learned of connections that rest.
+    pub(super) rests: roseyard_engine::Links,
     /// Idle connections to servers by the time of their last use: what goes first is found without a scan.
     pub(super) idle: BTreeSet<(Duration, Key)>,
     pub(super) counter: Option<Counter>,
@@ -83,6 +85,7 @@
             answers: Vec::new(),
             links: Slots::default(),
             pools: HashMap::new(),
+            rests: roseyard_engine::Links::default(),
             idle: BTreeSet::new(),
             counter,
             watch: Watch::new(start.discovery, start.seed),
--- a/ingress/src/routing/counter.rs
+++ b/ingress/src/routing/counter.rs
@@ -29,6 +29,8 @@
     /// Counts the streams that it has had: news of one that is gone must not reach its successor.
     serial: u32,
     up: bool,
+    /// Has it answered a call?
+    answered: bool,
     calls: VecDeque<Call>,
     /// Calls at the front whose time is over: told as unknown, their answers still to come.
     late: usize,
@@ -129,7 +131,7 @@
     fn open(&mut self, n: usize, io: &mut Io, life: &mut Life) {
         let wire = &mut self.wires[n];
         if wire.stream.is_none() && !wire.calls.is_empty() {
-            (wire.heard, wire.up, wire.epoch) = (io.now, false, self.epoch);
+            (wire.heard, wire.up, wire.answered, wire.epoch) = (io.now, false, false, self.epoch);
             wire.serial = wire.serial.wrapping_add(1);
             let opened = connect(&self.address, io.limits.chunk_bytes);
             let opened = opened.and_then(|s| {
@@ -215,9 +217,10 @@
         }
         let wire = &mut self.wires[n];
         if !good {
-            // An idle connection that the counter closed, or one that it spoilt, says nothing about the counter.
-            let again =
-                if spoilt || wire.calls.is_empty() { Duration::ZERO } else { io.limits.counter_again };
+            // An idle connection that the counter closed, one that it spoilt, or one that broke after it had served
+            // says nothing about the counter: guards against calls that fail for want of a connection.
+            let lost = spoilt || wire.answered || wire.calls.is_empty();
+            let again = if lost { Duration::ZERO } else { io.limits.counter_again };
             wire.fail(io.now, again, life);
         }
         wire.arm(n, self.timeout, io);
@@ -245,7 +248,7 @@
                 _ => Some(CountResult::Unknown),
             };
             stream.take(used);
-            (wire.heard, wire.part) = (io.now, None);
+            (wire.heard, wire.part, wire.answered) = (io.now, None, true);
             let Some(result) = result else { continue };
             let Some(call) = wire.calls.pop_front() else { return false };
             // A late answer is consumed: the module was told that this call's end is unknown.
--- a/ingress/tests/sockets.rs
+++ b/ingress/tests/sockets.rs
@@ -715,6 +715,67 @@
     }
 }
 
+#[test]
+fn a_counter_connection_that_breaks_under_a_call_is_opened_anew_at_once() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    let mut served_one = |site: &mut Site, id| {
+        client.send(load(id));
+        let (_, c, _) = site.arrival();
+        site.servers[0].ends[c].send(served("v"));
+        site.expect(&mut client, "$1\r\nv\r\n");
+    };
+    served_one(&mut site, 1);
+    assert_eq!(site.counter.calls.len(), 1);
+    site.counter.counting = Counting::Silent;
+    let mut other = site.client();
+    other.send(load(2));
+    site.until("the call", |s| s.counter.party.ends.iter().any(|e| !e.input.is_empty()));
+    site.counter.party.ends.clear();
+    let (_, c, _) = site.arrival();
+    site.servers[0].ends[c].send(served("w"));
+    site.expect(&mut other, "$1\r\nw\r\n");
+    // The next try has its total, in the same millisecond.
+    site.counter.counting = Counting::Answers;
+    served_one(&mut site, 3);
+    assert_eq!(site.counter.calls.len(), 2, "no call fails for want of a connection");
+}
+
+/// A server keeps a connection for 100 ms, and its end is seen only once the next request has been written there.
+/// How many of the requests of the second half, each 200 ms after the one before, were lost to that.
+fn lost_to_dead_links(kind: &str, list: &str) -> usize {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    let mut lost = 0;
+    for id in 0..60 {
+        client.send(request_of(id + 1, kind, id, list));
+        let (s, c, _) = site.arrival();
+        let end = &mut site.servers[s].ends[c];
+        if end.used {
+            lost += usize::from(id >= 30);
+            site.servers[s].ends.remove(c);
+        } else {
+            end.used = true;
+            end.send(served("v"));
+        }
+        site.until("the answer", |_| {
+            client.read();
+            client.input.ends_with(b"\r\n")
+        });
+        client.input.clear();
+        site.advance(200);
+    }
+    lost
+}
+
+#[test]
+fn connections_that_die_unseen_at_rest_are_learned_of_and_passed_over() {
+    let once = lost_to_dead_links("API.WRITE", SUBMIT);
+    assert!(once <= 3, "{once} of 30 were lost");
+    let twice = lost_to_dead_links("API.READ", LOAD);
+    assert!(twice <= 3, "{twice} of 30 were sent to dead connections");
+}
+
 #[test]
 fn a_counter_that_refuses_or_turns_away_stalls_nobody() {
     for refuses in [true, false] {
--- a/src/control.rs
+++ b/src/control.rs
@@ -516,7 +516,7 @@
         if room == Some(true) && call.decided.is_none() && !call.counted {
             ledger.carry += call.units;
         }
-        self.counter_heard(matches!(result, CountResult::Total(_)), took, t, out);
+        self.counter_heard(result, took, t, out);
         match (call.decided, room) {
             (None, Some(room)) => self.decided(call.request, room, true, t, out),
             (None, None) => self.decide_alone(call.request, false, t, out),
@@ -527,11 +527,12 @@
     /// Guards against a counter that is slow, silent, refusing or short of calls: the share of tries that ask
     /// falls with each failure: a jam is not fed. It grows while answers take little more than the counter's
     /// own least time, however near to the wait that is. Harm: after a recovery too few ask for some seconds.
-    fn counter_heard(&mut self, ok: bool, took: f64, t: f64, out: &mut Vec<Action>) {
-        if t - took < self.flow.resumed {
+    /// A call lost within the wait was cut off with its connection, which tells nothing of the line's length.
+    fn counter_heard(&mut self, result: CountResult, took: f64, t: f64, out: &mut Vec<Action>) {
+        if t - took < self.flow.resumed || (result == CountResult::Unknown && took < self.wait) {
             return;
         }
-        let took = if ok { took } else { f64::MAX };
+        let took = if let CountResult::Total(_) = result { took } else { f64::MAX };
         let since = t - std::mem::replace(&mut self.flow.counter_at, t);
         self.flow.least = took.min(self.flow.least + self.wait * since / LEAST_TAU);
         let easy = self.flow.least + (self.wait - self.flow.least) / 3.0;
--- a/tests/counter.rs
+++ b/tests/counter.rs
@@ -315,3 +315,19 @@
     assert!(granted(&mut w, 1, 0, 1, 10) >= 4);
     assert!(granted(&mut w, 0, 0, 1, 10) <= 3, "what the other passed since is in the new total");
 }
+
+#[test]
+fn calls_cut_off_with_their_connections_do_not_slow_the_asking() {
+    // Every third call is lost at once, as by a reset under it; the others are answered.
+    let mut w = World::new(settings(3), 3, 5);
+    let mut asked = 0;
+    for round in 0..600 {
+        w.request(0, 0, 0, round % 50);
+        asked += w.counts.len();
+        w.advance(ms(1));
+        w.count_all(if round % 3 == 0 { CountMode::LostBefore } else { CountMode::Answered });
+        w.advance(ms(20));
+        w.end(0, Outcome::Ok);
+    }
+    assert_eq!(asked, 600, "each try asks");
+}
