--- a/admission/src/budget.rs
+++ b/admission/src/budget.rs
@@ -20,11 +20,13 @@
     Files,
     /// Held unused, to be let go of when the system has none left.
     Spare,
+    /// The socket on which ingresses speak to one another, where they may.
+    Peers,
 }
 
 /// All uses, by their index.
-pub const USES: [Use; 7] =
-    [Use::Fixed, Use::Clients, Use::Links, Use::Counter, Use::Discovery, Use::Files, Use::Spare];
+pub const USES: [Use; 8] =
+    [Use::Fixed, Use::Clients, Use::Links, Use::Counter, Use::Discovery, Use::Files, Use::Spare, Use::Peers];
 
 /// What a use may hold.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/admission/tests/model.rs
+++ b/admission/tests/model.rs
@@ -285,9 +285,9 @@
     #[test]
     fn shares_never_pass_the_total_and_minima_are_always_there(
         total in 30usize..60,
-        steps in prop::collection::vec((0usize..7, any::<bool>()), 1..400),
+        steps in prop::collection::vec((0usize..8, any::<bool>()), 1..400),
     ) {
-        let least = [3, 8, 6, 2, 1, 1, 1];
+        let least = [3, 8, 6, 2, 1, 1, 1, 1];
         let shares = least.map(|least| Share { least, most: least * 4 });
         let mut budget = Budget::new(total, shares).unwrap();
         for (of, take) in steps {
--- a/ingress/src/program/cli.rs
+++ b/ingress/src/program/cli.rs
@@ -27,6 +27,14 @@
         #[command(flatten)]
         machine: MachineArgs,
     },
+    /// Show how an ingress sees the others, from the file that its 'membership { status }' names.
+    Status {
+        /// The file.
+        file: PathBuf,
+        /// As it stands there.
+        #[arg(long)]
+        json: bool,
+    },
     /// Show every setting as it would hold, and where it comes from.
     Explain {
         /// The file; without one, the defaults.
@@ -86,6 +94,10 @@
     match cli.command {
         None => super::run(&cli.run),
         Some(Command::Run(run)) => super::run(&run),
+        Some(Command::Status { file, json }) => {
+            print!("{}", super::status::show(&file, json)?);
+            Ok(())
+        }
         Some(Command::Check { file, machine }) => {
             let rows = checked(Some(&file), &machine.machine())?;
             println!("{}: in order, {} settings hold", file.display(), rows.len());
--- a/ingress/src/program/mod.rs
+++ b/ingress/src/program/mod.rs
@@ -3,10 +3,12 @@
 pub mod cli;
 pub mod config;
 mod standing;
+pub mod status;
 
 use crate::clock::Clock;
 use crate::limits::Limits;
 use crate::routing::front::Terms;
+use crate::routing::members::Members;
 use crate::routing::{Answer, Core, Front, Io, Party, Start};
 use crate::transport::{allowed, listen, spare, Deadlines, Key, Poller, Ready};
 use cli::Run;
@@ -59,6 +61,10 @@
     machine: Machine,
     keeper: Keeper,
     standing_due: Option<Duration>,
+    /// The other ingresses, and who writes down what is known of them, where the operator wants that.
+    members: Option<Members>,
+    status: Option<status::Writer>,
+    status_due: Option<Duration>,
     /// How the program was started; its file is read again on SIGHUP.
     run: Option<Run>,
     /// Connections wait at the listener.
@@ -121,7 +127,7 @@
             .map_err(|e| format!("listen on {}: {e}", config.listen))?;
         let settings = options.settings()?;
         let terms = Terms::new(options, &settings, &limits);
-        let Effective { policy, standing, .. } = operator;
+        let Effective { policy, standing, membership, .. } = operator;
         // What others choose must not collide in tables: mixed so that the module's numbers tell nothing of it.
         let secret = config.seed.rotate_left(23) ^ 0x61c8_8646_80b5_83eb;
         let mut front =
@@ -145,7 +151,18 @@
         io.deadlines.set(&mut ready_due, Some(at), Party::Ready);
         let mut standing_due = None;
         keeper.arm(&mut standing_due, &mut io);
+        let members =
+            Members::start(&membership, &config.name, standing::unix_ms(), config.seed ^ 0x5eed, &mut io)?;
+        let status =
+            members.is_some().then(|| membership.status.as_deref().map(status::Writer::new)).flatten();
+        let mut status_due = None;
+        if status.is_some() {
+            io.deadlines.set(&mut status_due, Some(io.now), Party::Status);
+        }
         Ok(Program {
+            members,
+            status,
+            status_due,
             machine,
             keeper,
             standing_due,
@@ -191,6 +208,9 @@
                 self.front.set_policy(operator.policy, io);
                 self.keeper.set(operator.standing);
                 self.keeper.arm(&mut self.standing_due, io);
+                if let Some(members) = &mut self.members {
+                    members.set(&operator.membership);
+                }
                 let counter = config.counter.map_or_else(|| "none".to_owned(), |c| c.to_string());
                 let discovery = config.discovery;
                 tracing::info!(
@@ -254,6 +274,9 @@
             self.front.ready = true;
             self.io.deadlines.set(&mut self.ready_due, None, Party::Ready);
             tracing::info!(event = "ready", "ready");
+            if let Some(members) = &mut self.members {
+                members.serving(&mut self.io);
+            }
         }
         loop {
             self.core.run(&mut self.io);
@@ -285,6 +308,9 @@
             let open = self.core.open_requests();
             tracing::info!(event = "leaving", open, "leaving: {open} requests open");
             io.deadlines.set(&mut self.drain_due, Some(io.now + io.limits.drain_accept), Party::Drain);
+            if let Some(members) = &mut self.members {
+                members.leave(io);
+            }
         }
     }
 
@@ -310,6 +336,7 @@
             Party::Counter(n, serial) => core.on_counter((n, serial), event, io),
             Party::Watch(serial) => core.on_watch(serial, event, io),
             Party::Listener => self.knocking = true,
+            Party::Members => self.members.iter_mut().for_each(|m| m.on_ready(io)),
             _ => self.on_signal(),
         }
     }
@@ -328,6 +355,8 @@
             }
             Party::Report => self.front.on_report_due(),
             Party::Standing => self.on_standing_due(),
+            Party::Members => self.members.iter_mut().for_each(|m| m.on_due(io)),
+            Party::Status => self.on_status_due(),
             Party::Ready => self.ready_due = None,
             Party::Drain => self.on_drain_due(),
             Party::Signal => {}
@@ -340,6 +369,16 @@
         self.keeper.arm(&mut self.standing_due, &mut self.io);
     }
 
+    /// What is known of the others is written each second.
+    fn on_status_due(&mut self) {
+        self.status_due = None;
+        if let (Some(status), Some(members)) = (&mut self.status, &self.members) {
+            status.write(members, self.io.now);
+            let at = self.io.now + Duration::from_secs(1);
+            self.io.deadlines.set(&mut self.status_due, Some(at), Party::Status);
+        }
+    }
+
     /// All is done: what is known of clients is kept for the next start.
     pub fn end(&mut self) {
         self.keeper.finish(self.front.gate(), self.io.now);
--- a/ingress/src/program/standing.rs
+++ b/ingress/src/program/standing.rs
@@ -16,7 +16,7 @@
     writer: Option<JoinHandle<()>>,
 }
 
-fn unix_ms() -> u64 {
+pub(super) fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
 
@@ -31,7 +31,7 @@
 }
 
 /// Writes beside the file and renames: whoever reads finds the old one or the new one, whole.
-fn replace(path: &Path, bytes: &[u8]) -> io::Result<()> {
+pub(super) fn replace(path: &Path, bytes: &[u8]) -> io::Result<()> {
     let beside = path.with_extension("new");
     let mut file = fs::File::create(&beside)?;
     file.write_all(bytes)?;
--- /dev/null
+++ b/ingress/src/program/status.rs
@@ -0,0 +1,87 @@
+//! `roseyard status`: what an ingress wrote of the others, and showing it.
+
+use super::standing::{replace, unix_ms};
+use crate::routing::members::{Members, Status};
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// Longest file that is read.
+const MOST_BYTES: u64 = 4 << 20;
+
+/// Writes the status file, each second at most.
+pub struct Writer {
+    path: PathBuf,
+    /// Writes apart from the loop: guards against a slow disk that would hold every request up.
+    writer: Option<JoinHandle<()>>,
+}
+
+impl Writer {
+    /// A writer of this file.
+    pub fn new(path: &Path) -> Writer {
+        Writer { path: path.to_owned(), writer: None }
+    }
+
+    /// Writes what is known now, unless the last writing still goes on.
+    pub fn write(&mut self, members: &Members, now: Duration) {
+        if self.writer.as_ref().is_some_and(|w| !w.is_finished()) {
+            return;
+        }
+        let Ok(text) = simd_json::to_string_pretty(&members.status(unix_ms(), now)) else { return };
+        let path = self.path.clone();
+        self.writer = Some(std::thread::spawn(move || {
+            if let Err(e) = replace(&path, text.as_bytes()) {
+                let file = path.display();
+                tracing::warn!(event = "status.write", %file, why = %e, "status: {file}: not written: {e}");
+            }
+        }));
+    }
+}
+
+/// What a status file tells, as it is or as a table.
+pub fn show(path: &Path, json: bool) -> Result<String, String> {
+    let named = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    if fs::metadata(path).map_err(|e| named(&e))?.len() > MOST_BYTES {
+        return Err(named(&"longer than 4 MiB"));
+    }
+    let text = fs::read_to_string(path).map_err(|e| named(&e))?;
+    if json {
+        return Ok(text);
+    }
+    let mut bytes = text.into_bytes();
+    let status: Status = simd_json::from_slice(&mut bytes).map_err(|e| named(&format!("no status: {e}")))?;
+    Ok(table(&status, unix_ms()))
+}
+
+fn table(status: &Status, now: u64) -> String {
+    let Status { name, address, health, seen, expected, .. } = status;
+    let age = now.saturating_sub(status.written) as f64 / 1000.0;
+    let side = if status.quorum { "a majority" } else { "no majority" };
+    let mut out = format!(
+        "{name} on {address}, written {age:.1} s ago: {seen} of {expected} answer ({side}), local health {health}\n"
+    );
+    if let Some(by) = &status.held {
+        out += &format!("refused: its name is held by a process at {by}\n");
+    }
+    let mut rows =
+        vec![["member", "standing", "heard", "address", "zone", "stage", "life"].map(String::from)];
+    for m in &status.members {
+        let heard = format!("{:.1} s", m.age as f64 / 1000.0);
+        let life = format!("{}.{}", m.life.0, m.life.1);
+        let (address, zone, stage) = (m.address.clone(), m.zone.clone(), m.stage.clone());
+        rows.push([m.name.clone(), m.standing.clone(), heard, address, zone, stage, life]);
+    }
+    let wide: Vec<usize> =
+        (0..7).map(|c| rows.iter().map(|r| r[c].chars().count()).max().unwrap_or(0)).collect();
+    for row in rows {
+        let cells: Vec<String> =
+            row.iter().zip(&wide).map(|(cell, w)| format!("{cell:w$}", w = *w)).collect();
+        out += cells.join("  ").trim_end();
+        out.push('\n');
+    }
+    for (what, n) in &status.counts {
+        out += &format!("{n:>10}  {what}\n");
+    }
+    out
+}
--- a/ingress/src/routing/doors.rs
+++ b/ingress/src/routing/doors.rs
@@ -42,7 +42,7 @@
     pub fn new(listener: OwnedFd, policy: Policy, secret: u64, io: &mut Io) -> rustix::io::Result<Doors> {
         io.poller.add_level(&listener, Party::Listener.token())?;
         // Their number is fixed by their tables: taken for the whole of the process's life.
-        for of in [Use::Fixed, Use::Counter, Use::Discovery, Use::Files, Use::Spare] {
+        for of in [Use::Fixed, Use::Counter, Use::Discovery, Use::Files, Use::Spare, Use::Peers] {
             while io.budget.used(of) < io.budget.share(of).least && io.budget.take(of) {}
         }
         Ok(Doors {
--- /dev/null
+++ b/ingress/src/routing/members.rs
@@ -0,0 +1,324 @@
+//! The other ingresses, where the operator lets them speak to one another: the socket under the membership's state
+//! machine. Nothing on a request's path waits for it.
+
+use super::{Io, Party};
+use crate::transport::Datagrams;
+use roseyard_membership::{
+    wire, Action, Dropped, Event, Facts, Guard, Key, Name, Settings, Stage, Standing, Swim,
+};
+use roseyard_operator::Membership;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fs;
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+use std::time::Duration;
+
+/// Datagrams taken in a round: clients have their turn before the next ones.
+const ROUND: usize = 64;
+/// Names whose numbers are remembered, against replays.
+const NAMES: usize = 4096;
+/// Longer than the longest datagram, so that one that is too long is seen to be.
+const SPACE: usize = 512;
+
+/// What is known of the others, for `roseyard status`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Status {
+    /// This ingress.
+    pub name: String,
+    /// Where it listens for the others.
+    pub address: String,
+    /// When this was written, Unix time in milliseconds.
+    pub written: u64,
+    /// The start of this process, by the same clock.
+    pub life: u64,
+    /// How far it trusts itself: 0 is well, 8 the worst.
+    pub health: u32,
+    /// Who holds its name, while it is refused for that.
+    pub held: Option<String>,
+    /// Members that answer, this one included.
+    pub seen: usize,
+    /// Members that there should be.
+    pub expected: usize,
+    /// Is that more than half?
+    pub quorum: bool,
+    /// All that were ever heard of and are remembered.
+    pub members: Vec<MemberStatus>,
+    /// Datagrams by what became of them, and what the protocol counted.
+    pub counts: BTreeMap<String, u64>,
+}
+
+/// One of them.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: String,
+    /// How it is seen.
+    pub standing: String,
+    /// Age of the latest word of its own, in milliseconds.
+    pub age: u64,
+    /// Its life and how often it refuted a suspicion in it.
+    pub life: (u64, u32),
+    /// Its zone.
+    pub zone: String,
+    /// How far it is by its own word.
+    pub stage: String,
+}
+
+/// The membership's socket and state.
+pub struct Members {
+    socket: Datagrams,
+    swim: Swim,
+    guard: Guard,
+    facts: Facts,
+    due: Option<Duration>,
+    /// Datagrams that may be sent now, and as of when.
+    tokens: f64,
+    filled: Duration,
+    per_second: f64,
+    counts: BTreeMap<&'static str, u64>,
+    actions: Vec<Action>,
+}
+
+/// The key of a file: 64 hex digits that nobody but the owner may read.
+fn key(path: &Path) -> Result<Key, String> {
+    let named = |e: &dyn std::fmt::Display| format!("membership: {}: {e}", path.display());
+    let mode = fs::metadata(path).map_err(|e| named(&e))?.permissions().mode() & 0o777;
+    if mode & 0o077 != 0 {
+        return Err(named(&format!("others may read this key (mode {mode:04o}); make it 0600")));
+    }
+    let text = fs::read_to_string(path).map_err(|e| named(&e))?;
+    let text = text.trim();
+    let wrong = || named(&"not a key: 64 hex digits are expected");
+    if text.len() != 64 || !text.is_ascii() {
+        return Err(wrong());
+    }
+    let mut bytes = [0; 32];
+    for (n, byte) in bytes.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * n..2 * n + 2], 16).map_err(|_| wrong())?;
+    }
+    Ok(Key::new(&bytes))
+}
+
+fn keys(operator: &Membership) -> Result<Vec<Key>, String> {
+    let files = operator.key_file.iter().chain(&operator.other_key_file);
+    files.map(|path| key(path)).collect()
+}
+
+impl Members {
+    /// Opens the socket, if the operator has set where. `life` is the Unix time of this start in milliseconds.
+    pub fn start(
+        operator: &Membership,
+        name: &str,
+        life: u64,
+        seed: u64,
+        io: &mut Io,
+    ) -> Result<Option<Members>, String> {
+        let Some(listen) = operator.listen else { return Ok(None) };
+        let me = Name::from(name).ok().filter(|n| !n.is_empty());
+        let me = me.ok_or_else(|| format!("membership: the name '{name}' is not of 1 to 16 bytes"))?;
+        let keys = keys(operator)?;
+        let socket = Datagrams::bind(listen).map_err(|e| format!("membership: listen on {listen}: {e}"))?;
+        let address = socket.address().map_err(|e| format!("membership: {e}"))?;
+        io.poller.add_level(&socket, Party::Members.token()).map_err(|e| format!("membership: {e}"))?;
+        let path = |(name, at): &(String, _)| Some((Name::from(name).ok()?, *at));
+        let settings = Settings {
+            period: operator.period,
+            timeout: operator.timeout,
+            gossip: operator.gossip,
+            sync: operator.sync,
+            suspicion: operator.suspicion,
+            seeds: operator.seeds.clone(),
+            paths: operator.paths.iter().filter_map(path).collect(),
+            ..Settings::new(operator.expected)
+        };
+        let zone = operator.zone.as_str().try_into().unwrap_or_default();
+        let facts = Facts { zone, ..Facts::default() };
+        let marks: Vec<String> = keys.iter().map(Key::mark).collect();
+        tracing::info!(
+            event = "membership.listening", %address, cluster = operator.cluster, keys = marks.join(" "),
+            "membership: {name} of cluster {} listens on {address}, keys {}", operator.cluster, marks.join(" ")
+        );
+        let mut members = Members {
+            guard: Guard::new(&operator.cluster, keys, me, NAMES),
+            swim: Swim::new(settings, me, address, life, facts.clone(), seed),
+            socket,
+            facts,
+            due: None,
+            tokens: f64::from(operator.datagrams) / 5.0,
+            filled: io.now,
+            per_second: f64::from(operator.datagrams),
+            counts: BTreeMap::new(),
+            actions: Vec::new(),
+        };
+        members.tell(Event::Due, io);
+        Ok(Some(members))
+    }
+
+    /// The operator's file was read again: its keys hold, and its bound on what is sent.
+    pub fn set(&mut self, operator: &Membership) {
+        self.per_second = f64::from(operator.datagrams);
+        match keys(operator) {
+            Ok(keys) => {
+                let marks: Vec<String> = keys.iter().map(Key::mark).collect();
+                let marks = marks.join(" ");
+                tracing::info!(event = "membership.keys", marks, "membership: keys {marks}");
+                self.guard.set_keys(keys);
+            }
+            Err(why) => {
+                tracing::warn!(event = "membership.keys", why, "{why}; the keys held stay in force");
+            }
+        }
+    }
+
+    /// This ingress serves now.
+    pub fn serving(&mut self, io: &mut Io) {
+        self.facts.stage = Stage::Serving;
+        self.tell(Event::Facts(self.facts.clone()), io);
+    }
+
+    /// This ingress leaves.
+    pub fn leave(&mut self, io: &mut Io) {
+        self.tell(Event::Leave, io);
+    }
+
+    /// Datagrams wait.
+    pub fn on_ready(&mut self, io: &mut Io) {
+        let mut space = [0; SPACE];
+        for _ in 0..ROUND {
+            let Some((length, at)) = self.socket.receive(&mut space) else { return };
+            self.count("received");
+            let heard = match self.guard.open(&space[..length]) {
+                Ok(opened) => wire::read(opened.body)
+                    .map(|(message, news)| Event::Heard {
+                        at,
+                        from: opened.from,
+                        life: opened.life,
+                        message,
+                        news,
+                    })
+                    .ok_or(Dropped::Malformed),
+                Err(why) => Err(why),
+            };
+            match heard {
+                Ok(event) => self.tell(event, io),
+                Err(why) => self.count(match why {
+                    Dropped::Malformed => "dropped: malformed",
+                    Dropped::Version => "dropped: another version",
+                    Dropped::Cluster => "dropped: another cluster",
+                    Dropped::Forged => "dropped: not authentic",
+                    Dropped::Replayed => "dropped: replayed",
+                    Dropped::Crowded => "dropped: too many names",
+                }),
+            }
+        }
+    }
+
+    /// The state machine's deadline has come.
+    pub fn on_due(&mut self, io: &mut Io) {
+        self.due = None;
+        self.tell(Event::Due, io);
+    }
+
+    fn count(&mut self, what: &'static str) {
+        *self.counts.entry(what).or_default() += 1;
+    }
+
+    fn tell(&mut self, event: Event, io: &mut Io) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.swim.handle(io.now, event, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { to, body } => self.send(to, &body, io),
+                Action::Changed { name, from, to } => {
+                    let (was, is) = (from.word(), to.word());
+                    let quorum = self.swim.quorum();
+                    let (seen, expected) = (quorum.seen, quorum.expected);
+                    if matches!(to, Standing::Suspected | Standing::Gone) {
+                        tracing::warn!(
+                            event = "membership.changed", %name, was, is, seen, expected,
+                            "membership: {name} {is}, was {was}; {seen} of {expected} answer"
+                        );
+                    } else {
+                        tracing::info!(
+                            event = "membership.changed", %name, was, is, seen, expected,
+                            "membership: {name} {is}, was {was}; {seen} of {expected} answer"
+                        );
+                    }
+                }
+                Action::Refused { by } => {
+                    let name = self.swim.me().name;
+                    tracing::warn!(
+                        event = "membership.refused", %name, %by,
+                        "membership: refused: the name {name} is held by a process at {by} that runs; asking again"
+                    );
+                }
+                Action::Joined => {
+                    tracing::info!(event = "membership.joined", "membership: let in");
+                }
+            }
+        }
+        self.actions = actions;
+        if self.swim.due() != self.due {
+            io.deadlines.set(&mut self.due, self.swim.due(), Party::Members);
+        }
+    }
+
+    /// Guards against more traffic than the operator allows, whatever asks for it.
+    fn send(&mut self, to: std::net::SocketAddr, body: &[u8], io: &Io) {
+        let since = io.now.saturating_sub(self.filled).as_secs_f64();
+        self.filled = io.now;
+        let most = (self.per_second / 5.0).max(8.0);
+        self.tokens = (self.tokens + since * self.per_second).min(most);
+        if self.tokens < 1.0 {
+            return self.count("not sent: over the bound");
+        }
+        self.tokens -= 1.0;
+        let sealed = self.guard.seal(self.swim.me().life, body);
+        let taken = self.socket.send(&sealed, to);
+        self.count(if taken { "sent" } else { "not sent: not taken by the system" });
+    }
+
+    /// All that is known; `written` is the Unix time in milliseconds.
+    pub fn status(&self, written: u64, now: Duration) -> Status {
+        let (me, quorum, counted) = (self.swim.me(), self.swim.quorum(), self.swim.counts());
+        let member = |(name, view): (Name, roseyard_membership::View)| {
+            let record = view.record?;
+            Some(MemberStatus {
+                name: name.to_string(),
+                address: record.address.to_string(),
+                standing: view.standing.word().into(),
+                age: view.age.map_or(0, |a| a.as_millis() as u64),
+                life: (record.life, record.round),
+                zone: record.facts.zone.to_string(),
+                stage: format!("{:?}", record.facts.stage).to_lowercase(),
+            })
+        };
+        let mut counts: BTreeMap<String, u64> =
+            self.counts.iter().map(|(what, n)| ((*what).to_owned(), *n)).collect();
+        for (what, n) in [
+            ("probes", counted.probes),
+            ("probes failed", counted.failed),
+            ("suspicions refuted", counted.refuted),
+            ("stalls of its own", counted.stalls),
+            ("records not remembered", counted.crowded),
+        ] {
+            counts.insert(what.into(), n);
+        }
+        Status {
+            name: me.name.to_string(),
+            address: me.address.to_string(),
+            written,
+            life: me.life,
+            health: self.swim.health(),
+            held: self.swim.held().map(|at| at.to_string()),
+            seen: quorum.seen,
+            expected: quorum.expected,
+            quorum: quorum.holds(),
+            members: self.swim.views(now).filter_map(member).collect(),
+            counts,
+        }
+    }
+}
--- a/ingress/src/routing/mod.rs
+++ b/ingress/src/routing/mod.rs
@@ -9,6 +9,7 @@
 mod discovery;
 mod doors;
 pub mod front;
+pub mod members;
 
 pub use self::core::{Answer, Ask, Core, Life, Start};
 pub use front::Front;
@@ -28,6 +29,10 @@
     Report,
     /// Standing is written down.
     Standing,
+    /// The other ingresses.
+    Members,
+    /// What is known of them is written down.
+    Status,
     /// SIGTERM or SIGINT has come.
     Signal,
     /// The module's timer.
@@ -52,6 +57,7 @@
 const WATCH: u64 = 4;
 const LISTENER: u64 = 5;
 const SIGNAL: u64 = 6;
+const MEMBERS: u64 = 7;
 
 impl Party {
     /// The number that a socket of this party is registered with.
@@ -62,9 +68,14 @@
             Party::Counter(n, serial) => (COUNTER, u64::from(serial) << 16 | u64::from(n)),
             Party::Watch(serial) => (WATCH, u64::from(serial)),
             Party::Listener => (LISTENER, 0),
-            Party::Signal | Party::Module | Party::Ready | Party::Drain | Party::Report | Party::Standing => {
-                (SIGNAL, 0)
-            }
+            Party::Members => (MEMBERS, 0),
+            Party::Signal
+            | Party::Module
+            | Party::Ready
+            | Party::Drain
+            | Party::Report
+            | Party::Standing
+            | Party::Status => (SIGNAL, 0),
         };
         kind << 56 | rest
     }
@@ -78,6 +89,7 @@
             COUNTER => Party::Counter(rest as u16, (rest >> 16) as u32),
             WATCH => Party::Watch(rest as u32),
             LISTENER => Party::Listener,
+            MEMBERS => Party::Members,
             _ => Party::Signal,
         }
     }
--- a/ingress/src/transport/mod.rs
+++ b/ingress/src/transport/mod.rs
@@ -1,9 +1,11 @@
 //! Sockets, readiness and buffers. Knows bytes and connections, not what they mean.
 
+pub mod datagrams;
 pub mod deadlines;
 pub mod poller;
 pub mod stream;
 
+pub use datagrams::Datagrams;
 pub use deadlines::Deadlines;
 pub use poller::{Poller, Ready};
 pub use roseyard_engine::{Key, Slots};
--- /dev/null
+++ b/ingress/tests/fleet.rs
@@ -0,0 +1,255 @@
+//! Several real daemons that know of one another, with faults between them.
+
+use roseyard_lab::net::Rules;
+use roseyard_lab::rig::{standing, Rig, Spec, PATIENCE};
+use rustix::process::Signal;
+use std::net::UdpSocket;
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+fn rig(members: usize, seed: u64) -> Rig {
+    println!("seed {seed}");
+    let rig = Rig::start(Spec::new(env!("CARGO_BIN_EXE_roseyard"), members, seed)).unwrap();
+    let all: Vec<usize> = (0..members).collect();
+    rig.agree(&all, PATIENCE).unwrap();
+    rig
+}
+
+/// Lines that say that a member is held gone.
+fn gone(rig: &Rig, n: usize, from: usize) -> Vec<String> {
+    rig.members[n].log.since(from).into_iter().filter(|l| l.contains(" gone, was ")).collect()
+}
+
+fn served(rig: &Rig, n: usize, id: u64) {
+    let line = rig.ask(n, 1 + id % 50, id).unwrap();
+    assert_eq!(line, "$16", "n{n} answered {line}");
+}
+
+#[test]
+fn one_of_three_that_is_killed_is_seen_gone_and_comes_back_under_its_name() {
+    let mut rig = rig(3, 1);
+    let marks: Vec<usize> = rig.members.iter().map(|m| m.log.mark()).collect();
+    rig.kill(2).unwrap();
+    for n in [0, 1] {
+        rig.members[n].log.wait(marks[n], "n2 gone, was suspected; 2 of 3 answer", PATIENCE).unwrap();
+        served(&rig, n, 10 + n as u64);
+    }
+    rig.sees(0, 2, "gone", PATIENCE).unwrap();
+    assert_eq!(rig.status(0).unwrap()["quorum"], true, "two of three");
+    rig.spawn(2).unwrap();
+    rig.agree(&[0, 1, 2], PATIENCE).unwrap();
+    served(&rig, 2, 20);
+    // A table for people, from the same file.
+    let shown =
+        Command::new(env!("CARGO_BIN_EXE_roseyard")).arg("status").arg(rig.status_file(0)).output().unwrap();
+    let table = String::from_utf8(shown.stdout).unwrap();
+    assert!(table.contains("3 of 3 answer (a majority)") && table.contains("n2      alive"), "{table}");
+}
+
+#[test]
+fn who_leaves_by_sigterm_is_left_and_not_suspected() {
+    let mut rig = rig(3, 2);
+    let marks: Vec<usize> = rig.members.iter().map(|m| m.log.mark()).collect();
+    rig.signal(1, Signal::TERM).unwrap();
+    rig.reap(1).unwrap();
+    for n in [0, 2] {
+        rig.members[n].log.wait(marks[n], "n1 left, was alive", PATIENCE).unwrap();
+    }
+    rig.spawn(1).unwrap();
+    rig.agree(&[0, 1, 2], PATIENCE).unwrap();
+    assert!((0..3).all(|n| gone(&rig, n, marks[n]).is_empty()));
+}
+
+#[test]
+fn one_that_was_stopped_wakes_with_a_view_that_does_not_win() {
+    let rig = rig(4, 3);
+    let marks: Vec<usize> = rig.members.iter().map(|m| m.log.mark()).collect();
+    rig.signal(3, Signal::STOP).unwrap();
+    for n in 0..3 {
+        rig.members[n].log.wait(marks[n], "n3 gone, was suspected; 3 of 4 answer", PATIENCE).unwrap();
+    }
+    rig.signal(3, Signal::CONT).unwrap();
+    rig.agree(&[0, 1, 2, 3], PATIENCE).unwrap();
+    assert_eq!(gone(&rig, 3, marks[3]), Vec::<String>::new(), "the others never stopped");
+    served(&rig, 3, 30);
+}
+
+#[test]
+fn the_minority_of_a_split_knows_that_it_is_one_and_serves_on() {
+    let mut rig = rig(5, 4);
+    rig.net.split(&[0, 1], &[2, 3, 4]);
+    rig.until(PATIENCE, "two of five have no majority", |r| {
+        [0, 1].iter().all(|n| r.status(*n).is_ok_and(|s| s["quorum"] == false))
+    })
+    .unwrap();
+    rig.sees(2, 0, "gone", PATIENCE).unwrap();
+    assert!([2, 3, 4].iter().all(|n| rig.status(*n).unwrap()["quorum"] == true));
+    (0..5).for_each(|n| served(&rig, n, 40 + n as u64));
+    // One on each side restarts, and the split heals.
+    for n in [1, 4] {
+        rig.kill(n).unwrap();
+        rig.spawn(n).unwrap();
+    }
+    rig.net.set_all(Rules::default());
+    rig.agree(&[0, 1, 2, 3, 4], PATIENCE).unwrap();
+}
+
+#[test]
+fn one_way_cuts_loss_doubles_and_delay_leave_nobody_gone() {
+    let rig = rig(4, 5);
+    let marks: Vec<usize> = rig.members.iter().map(|m| m.log.mark()).collect();
+    let bad = Rules { loss: 0.2, twice: 0.2, delay: (MS(1), MS(60)), ..Rules::default() };
+    rig.net.set_all(bad);
+    rig.net.set((1, 0), Rules { cut: true, ..bad });
+    // Long enough for each to be probed by each some times: 60 probes of the beat.
+    let probes = |r: &Rig, n: usize| r.status(n).unwrap()["counts"]["probes"].as_u64().unwrap();
+    let before: Vec<u64> = (0..4).map(|n| probes(&rig, n)).collect();
+    rig.until(Duration::from_secs(60), "20 probes of each", |r| {
+        (0..4).all(|n| probes(r, n) >= before[n] + 20)
+    })
+    .unwrap();
+    (0..4).for_each(|n| assert_eq!(gone(&rig, n, marks[n]), Vec::<String>::new(), "n{n}"));
+    assert!(rig.net.trace((1, 0)).iter().any(|f| f.after.is_empty()), "the cut has swallowed some");
+    rig.net.set_all(Rules::default());
+    rig.agree(&[0, 1, 2, 3], PATIENCE).unwrap();
+}
+
+#[test]
+fn keys_are_rotated_through_a_running_fleet_with_a_restart_in_the_middle() {
+    let mut rig = rig(3, 6);
+    let marks: Vec<usize> = rig.members.iter().map(|m| m.log.mark()).collect();
+    rig.write_key("next", 9).unwrap();
+    let (old, next) = (rig.folder().join("key"), rig.folder().join("next"));
+    let other = |path: &std::path::Path| format!("other-key-file \"{}\"", path.display());
+    let turn = |rig: &Rig, key: &str, more: &str| {
+        for n in 0..3 {
+            let mark = rig.members[n].log.mark();
+            rig.write_settings(n, key, more).unwrap();
+            rig.signal(n, Signal::HUP).unwrap();
+            rig.members[n].log.wait(mark, "membership: keys ", PATIENCE).unwrap();
+        }
+    };
+    turn(&rig, "key", &other(&next)); // All open both,
+    let settings = rig.write_settings(1, "next", &other(&old)).unwrap();
+    rig.kill(1).unwrap();
+    rig.spawn_with(1, &settings).unwrap(); // one seals by the new one after a restart,
+    turn(&rig, "next", &other(&old)); // then all,
+    turn(&rig, "next", ""); // and the old one is forgotten.
+    rig.agree(&[0, 1, 2], PATIENCE).unwrap();
+    (0..3).for_each(|n| assert_eq!(gone(&rig, n, marks[n]), Vec::<String>::new(), "n{n}"));
+    // A key that others may read changes nothing.
+    use std::os::unix::fs::PermissionsExt;
+    std::fs::set_permissions(&next, std::fs::Permissions::from_mode(0o644)).unwrap();
+    let mark = rig.members[0].log.mark();
+    rig.signal(0, Signal::HUP).unwrap();
+    rig.members[0]
+        .log
+        .wait(mark, "others may read this key (mode 0644); make it 0600; the keys held stay", PATIENCE)
+        .unwrap();
+}
+
+#[test]
+fn strangers_and_replays_are_dropped_and_a_flood_of_them_harms_nobody() {
+    let rig = rig(3, 7);
+    let mark = rig.members[0].log.mark();
+    let at = rig.members[0].listens.unwrap();
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    // 20,000 datagrams that look right up to the tag, at most 20,000 a second, beside requests.
+    let (over, sent) = (AtomicBool::new(false), AtomicU64::new(0));
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            let mut bytes = [1u8; 120];
+            for n in 0..20_000u64 {
+                bytes[40..48].copy_from_slice(&n.to_le_bytes());
+                let _ = stranger.send_to(&bytes, at);
+                sent.fetch_add(1, Ordering::Relaxed);
+                if n % 20 == 0 {
+                    std::thread::sleep(MS(1));
+                }
+            }
+            over.store(true, Ordering::Relaxed);
+        });
+        let mut id = 100;
+        while !over.load(Ordering::Relaxed) {
+            served(&rig, 0, id);
+            id += 1;
+        }
+    });
+    for bytes in [&b""[..], b"x", &[0; 300], &[0xff; 256]] {
+        stranger.send_to(bytes, at).unwrap();
+    }
+    rig.until(PATIENCE, "what was dropped is counted", |r| {
+        let counts = &r.status(0).unwrap()["counts"];
+        counts["dropped: another cluster"].as_u64() > Some(1000)
+            && counts["dropped: malformed"].as_u64() >= Some(3)
+    })
+    .unwrap();
+    stranger.set_nonblocking(true).unwrap();
+    assert!(stranger.recv_from(&mut [0; 8]).is_err(), "no stranger is answered");
+    rig.agree(&[0, 1, 2], PATIENCE).unwrap();
+    assert_eq!(gone(&rig, 0, mark), Vec::<String>::new());
+}
+
+#[test]
+fn the_younger_of_two_live_processes_of_one_name_is_refused_and_says_why() {
+    let mut rig = rig(3, 8);
+    // The third takes the second's name.
+    rig.kill(2).unwrap();
+    let holder = rig.members[1].listens.unwrap();
+    rig.members[2].name = "n1".into();
+    let folder = rig.folder().join("n1.kdl");
+    let settings = rig.write_settings(2, "key", "").unwrap();
+    assert_eq!(settings, folder);
+    let mark = rig.members[2].log.mark();
+    rig.spawn_with(2, &settings).unwrap();
+    let line = rig.members[2].log.wait(mark, "membership: refused", PATIENCE).unwrap();
+    assert!(line.contains(&format!("the name n1 is held by a process at {holder}")), "{line}");
+    served(&rig, 2, 60);
+    let mark = rig.members[0].log.mark();
+    rig.kill(1).unwrap();
+    rig.members[0].log.wait(mark, "n1 gone, was suspected", PATIENCE).unwrap();
+    rig.members[0].log.wait(mark, "n1 alive, was gone", PATIENCE).unwrap();
+}
+
+#[test]
+fn all_start_anew_within_a_second_with_nothing_in_memory() {
+    let mut rig = rig(4, 9);
+    let begin = Instant::now();
+    (0..4).for_each(|n| rig.kill(n).unwrap());
+    (0..4).for_each(|n| rig.spawn(n).unwrap());
+    let took = rig.agree(&[0, 1, 2, 3], PATIENCE).unwrap();
+    println!("agreed {:?} after the kill, {took:?} after the last start", begin.elapsed());
+    let status = rig.status(0).unwrap();
+    assert!((1..4).all(|n| standing(&status, &format!("n{n}")) == Some("alive")));
+}
+
+#[test]
+fn without_the_operators_word_no_socket_is_opened_and_mistakes_are_named() {
+    let file = std::env::temp_dir().join(format!("roseyard-members-{}.kdl", std::process::id()));
+    let check = |text: &str| {
+        std::fs::write(&file, text).unwrap();
+        let out = Command::new(env!("CARGO_BIN_EXE_roseyard")).arg("check").arg(&file).output().unwrap();
+        (out.status.success(), String::from_utf8_lossy(&out.stderr).into_owned())
+    };
+    for (text, said) in [
+        ("membership { listen \"127.0.0.1:1\" }", "'listen' has no effect without 'key-file'"),
+        ("membership { zone \"a\" }", "'zone' has no effect without 'listen'"),
+        (
+            "membership { listen \"here\"; key-file \"k\" }",
+            "\"here\" is not allowed here; 'listen' takes an address",
+        ),
+        ("membership { paths \"n1\" }", "'paths' takes 1 to 1024 names with addresses"),
+        (
+            "membership { listen \"127.0.0.1:1\"; key-file \"k\"; timeout \"600ms\" }",
+            "'timeout' is over half of 'period'",
+        ),
+    ] {
+        let (good, told) = check(text);
+        let plain: String = told.split_whitespace().collect::<Vec<_>>().join(" ");
+        assert!(!good && plain.contains(said), "{text}: {told}");
+    }
+    std::fs::remove_file(&file).unwrap();
+}
--- a/lab/src/daemon.rs
+++ b/lab/src/daemon.rs
@@ -8,6 +8,20 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+/// The daemon's program: the one given, or the one beside this program. An error names what was looked for.
+pub fn beside(given: Option<&Path>) -> io::Result<PathBuf> {
+    let found = match given {
+        Some(path) => path.to_owned(),
+        None => std::env::current_exe()?.with_file_name("roseyard"),
+    };
+    if found.is_file() {
+        return Ok(found);
+    }
+    let what =
+        format!("no daemon at {}: build it with 'cargo build', or name it with --daemon", found.display());
+    Err(io::Error::new(io::ErrorKind::NotFound, what))
+}
+
 /// A running daemon; ended with this value.
 pub struct Daemon {
     child: Child,
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,11 @@
+//! The project's laboratory, as a library for tests: stand-ins of what is around the ingress, fleets of real daemons
+//! and the faults between them. Everything stays on loopback.
+#![forbid(unsafe_code)]
+
+pub mod daemon;
+pub mod flood;
+pub mod net;
+pub mod rig;
+pub mod site;
+pub mod standins;
+pub mod usual;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,23 +1,18 @@
 //! `roseyard-lab`: the project's laboratory. Everything stays on loopback and stops by itself.
 #![forbid(unsafe_code)]
 
-mod daemon;
-mod flood;
-mod site;
-mod standins;
-mod usual;
-
 use clap::{Parser, Subcommand};
 use comfy_table::{presets::ASCII_MARKDOWN, Table};
-use daemon::{Daemon, Start};
-use flood::{Done, Flood, Shape};
+use roseyard_lab::daemon::{beside, Daemon, Start};
+use roseyard_lab::flood::{self, Done, Flood, Shape};
+use roseyard_lab::standins;
+use roseyard_lab::usual::{self, Outcome, Usual};
 use std::io;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::runtime::{Builder, Runtime};
-use usual::{Outcome, Usual};
 
 /// Stand-ins, load and floods around the real daemon, on loopback.
 #[derive(Debug, Parser)]
@@ -35,9 +30,9 @@
 
 #[derive(Debug, clap::Args)]
 struct FloodArgs {
-    /// The daemon's program.
-    #[arg(long, default_value = "target/release/roseyard")]
-    daemon: PathBuf,
+    /// The daemon's program; by default the one beside this one.
+    #[arg(long)]
+    daemon: Option<PathBuf>,
     /// The operator's file for it; none for a program that takes none.
     #[arg(long)]
     settings: Option<PathBuf>,
@@ -109,8 +104,11 @@
     // Each side has a thread of its own, so that a flood does not slow the clients that are measured.
     let (around_rt, usual_rt, flood_rt) = (runtime("around")?, runtime("usual")?, runtime("flood")?);
     let around = around_rt.block_on(standins::start(12, Duration::from_millis(args.work_ms)))?;
-    let start =
-        Start { program: args.daemon.clone(), settings: args.settings.clone(), sockets: args.sockets };
+    let start = Start {
+        program: beside(args.daemon.as_deref())?,
+        settings: args.settings.clone(),
+        sockets: args.sockets,
+    };
     println!(
         "{} descriptors, {} requests a second ({} on connections that close), flood of {} connections a second from {} addresses, seed {}",
         args.sockets, args.rate, args.fresh, args.flood_rate, args.flood_from, args.seed
--- a/membership/src/swim.rs
+++ b/membership/src/swim.rs
@@ -569,8 +569,8 @@
         }
     }
 
-    /// Tells suspected members that they are. Guards against a suspicion that everybody but its subject hears of: what
-    /// the cut that caused it swallowed is told to others only so often.
+    /// Tells suspected members that they are, and one other each time, who will tell them too. Guards against a
+    /// suspicion that its subject never hears of: what the cut that caused it swallows is told only so often.
     fn remind(&mut self, out: &mut Vec<Action>) {
         let suspects: Vec<Name> =
             self.members.values().filter(|m| m.suspected()).map(|m| m.record.name).collect();
@@ -578,6 +578,9 @@
             let name = suspects[self.rng.usize(0..suspects.len())];
             let Some(to) = self.address(&name) else { continue };
             self.send_about(to, &Message::Gossip, Some(name), out);
+            for to in self.some(1, |m| m.record.status == Status::Alive) {
+                self.send_about(to, &Message::Gossip, Some(name), out);
+            }
         }
     }
 
@@ -623,7 +626,7 @@
             self.some(self.settings.indirect, |m| m.record.status == Status::Alive && m.record.name != name);
         let asked = others.len() as u32;
         for to in others {
-            self.send(to, &Message::Indirect { number, name, address }, out);
+            self.send_about(to, &Message::Indirect { number, name, address }, Some(name), out);
         }
         if let Some(probe) = &mut self.probe {
             probe.asked = asked;
@@ -683,9 +686,14 @@
                 return self.send(at, &Message::Held(held), out);
             }
         }
+        let refuted = self.counts.refuted;
         for word in news {
             self.take(word, now, out);
         }
+        if self.counts.refuted > refuted {
+            // Who told us hears first.
+            self.send(at, &Message::Gossip, out);
+        }
         if self.held.is_some() && !matches!(message, Message::Held(_) | Message::Page(_)) {
             return;
         }
--- a/membership/tests/fleet.rs
+++ b/membership/tests/fleet.rs
@@ -146,6 +146,20 @@
     }
 }
 
+#[test]
+fn a_one_way_cut_beside_loss_and_delay_leaves_nobody_gone() {
+    let mut falsely = 0;
+    for seed in 0..20 {
+        let mut f = Fleet::of(4, settings(4), seed);
+        f.changes.clear();
+        f.net = Net { loss: 0.2, twice: 0.2, least: ms(1), most: ms(240) };
+        f.cut.insert((1, 0));
+        f.run(ms(60_000));
+        falsely += f.falsely(Standing::Gone);
+    }
+    assert_eq!(falsely, 0, "0 hears that 1 suspects it, and 1 that it does not, through the others");
+}
+
 #[test]
 fn who_left_does_not_come_back_by_old_news() {
     for seed in 0..5 {
--- a/operator/src/file.rs
+++ b/operator/src/file.rs
@@ -1,7 +1,7 @@
 //! Reads the file against the table of settings. Nothing of a file with a mistake takes effect.
 
 use crate::mistake::{Mistake, Mistakes};
-use crate::schema::{Effective, Machine, Setting, NEEDS, SETTINGS};
+use crate::schema::{Effective, Machine, Membership, Setting, NEEDS, SETTINGS};
 use crate::value::Value;
 use kdl::{KdlDocument, KdlNode};
 use miette::{NamedSource, SourceSpan};
@@ -136,6 +136,15 @@
         // Guards against places for clients that no descriptor stands for.
         let most = effective.share(Use::Clients).most;
         effective.policy.places = effective.policy.places.min(most).max(1);
+        // An answer that may come after the probe's end would be awaited in vain.
+        let Membership { timeout, period, .. } = effective.membership;
+        if timeout * 2 > period {
+            let given = |name| self.given.get(&("membership", name)).map(|(_, span)| *span);
+            let span = given("timeout").or(given("period")).unwrap_or((0, 0).into());
+            let what = "'timeout' is over half of 'period'".to_string();
+            let help = "others are asked once the direct answer has failed, within the same period";
+            return Err(Mistakes(vec![Mistake::new(&self.source, span, what).help(help)]));
+        }
         match Budget::new(effective.sockets, effective.shares) {
             Ok(_) => Ok(effective),
             Err(few) => {
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -27,4 +27,4 @@
 pub use explain::Row;
 pub use file::File;
 pub use mistake::{Mistake, Mistakes};
-pub use schema::{Effective, Machine, Standing};
+pub use schema::{Effective, Machine, Membership, Standing};
--- a/operator/src/schema.rs
+++ b/operator/src/schema.rs
@@ -3,6 +3,7 @@
 
 use crate::value::{Kind, Value};
 use roseyard_admission::{Listed, Policy, Rate, Share, Use, USES};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -26,6 +27,41 @@
     pub most: usize,
 }
 
+/// How ingresses learn of one another, where they may speak.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Membership {
+    /// Where this ingress listens for the others; none: no socket is opened.
+    pub listen: Option<SocketAddr>,
+    /// The cluster's name: others' datagrams are dropped.
+    pub cluster: String,
+    /// The file of the key that seals.
+    pub key_file: Option<PathBuf>,
+    /// The file of a second key that opens too, during a rotation.
+    pub other_key_file: Option<PathBuf>,
+    /// Where members are asked to be let in.
+    pub seeds: Vec<SocketAddr>,
+    /// Where members are reached from here, if not where they say that they listen.
+    pub paths: Vec<(String, SocketAddr)>,
+    /// Members that there should be, this one included.
+    pub expected: usize,
+    /// This ingress's zone; empty for none.
+    pub zone: String,
+    /// One member is probed so often.
+    pub period: Duration,
+    /// A direct answer is awaited so long.
+    pub timeout: Duration,
+    /// News goes out so often.
+    pub gossip: Duration,
+    /// All that is held is compared with one member so often.
+    pub sync: Duration,
+    /// Least time of a suspicion, in periods.
+    pub suspicion: u32,
+    /// Datagrams sent a second at most.
+    pub datagrams: u32,
+    /// Where `roseyard status` reads.
+    pub status: Option<PathBuf>,
+}
+
 /// All settings after defaults.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Effective {
@@ -37,6 +73,8 @@
     pub policy: Policy,
     /// Standing over a restart.
     pub standing: Standing,
+    /// Ingresses that learn of one another.
+    pub membership: Membership,
     /// Log lines a second; further ones are counted.
     pub log_lines: u32,
     /// Log lines as JSON objects?
@@ -62,12 +100,30 @@
             share(2, 2),
             share(2, 2),
             share(1, 1),
+            share(0, 0),
         ];
         Effective {
             sockets,
             shares,
             policy: Policy::of(left - left / 4),
             standing: Standing { file: None, every: Duration::from_secs(30), most: 100_000 },
+            membership: Membership {
+                listen: None,
+                cluster: "roseyard".into(),
+                key_file: None,
+                other_key_file: None,
+                seeds: Vec::new(),
+                paths: Vec::new(),
+                expected: 1,
+                zone: String::new(),
+                period: Duration::from_millis(1000),
+                timeout: Duration::from_millis(300),
+                gossip: Duration::from_millis(200),
+                sync: Duration::from_millis(5000),
+                suspicion: 4,
+                datagrams: 2000,
+                status: None,
+            },
             log_lines: 50,
             log_json: false,
         }
@@ -153,6 +209,14 @@
         }
     }
 
+    fn addresses(&self) -> &[SocketAddr] {
+        if let Value::Addresses(held) = self {
+            held
+        } else {
+            &[]
+        }
+    }
+
     /// The value of a property, if it was given.
     fn named(&self, name: &str) -> Option<u64> {
         let Value::Named(held) = self else { return None };
@@ -452,6 +516,139 @@
         apply: |e, v| e.standing.most = v.count(),
         show: |e| e.standing.most.to_string(),
     },
+    Setting {
+        section: "membership",
+        name: "listen",
+        kind: Kind::Addresses(1),
+        about: "where this ingress listens for the others; without it no socket is opened (next start)",
+        apply: |e, v| {
+            e.membership.listen = v.addresses().first().copied();
+            e.shares[Use::Peers as usize] = Share { least: 1, most: 1 };
+        },
+        show: |e| optional(e.membership.listen),
+    },
+    Setting {
+        section: "membership",
+        name: "cluster",
+        kind: Kind::Label(32),
+        about: "the cluster's name; datagrams of others are dropped (next start)",
+        apply: |e, v| e.membership.cluster = v.text().into(),
+        show: |e| e.membership.cluster.clone(),
+    },
+    Setting {
+        section: "membership",
+        name: "key-file",
+        kind: Kind::Path,
+        about: "the key that seals: 64 hex digits in a file that only its owner may read (read again on SIGHUP)",
+        apply: |e, v| e.membership.key_file = Some(v.text().into()),
+        show: |e| optional(e.membership.key_file.as_ref().map(|f| format!("\"{}\"", f.display()))),
+    },
+    Setting {
+        section: "membership",
+        name: "other-key-file",
+        kind: Kind::Path,
+        about: "a second key that opens too, during a rotation (read again on SIGHUP)",
+        apply: |e, v| e.membership.other_key_file = Some(v.text().into()),
+        show: |e| optional(e.membership.other_key_file.as_ref().map(|f| format!("\"{}\"", f.display()))),
+    },
+    Setting {
+        section: "membership",
+        name: "seeds",
+        kind: Kind::Addresses(64),
+        about: "where members are asked to be let in; this ingress's own address does no harm (next start)",
+        apply: |e, v| e.membership.seeds = v.addresses().to_vec(),
+        show: |e| {
+            let seeds: Vec<String> = e.membership.seeds.iter().map(ToString::to_string).collect();
+            if seeds.is_empty() { "none".into() } else { seeds.join(" ") }
+        },
+    },
+    Setting {
+        section: "membership",
+        name: "paths",
+        kind: Kind::Paths(1024),
+        about: "where members are reached from here, if not where they listen (next start)",
+        apply: |e, v| {
+            if let Value::Paths(paths) = v {
+                e.membership.paths = paths.clone();
+            }
+        },
+        show: |e| {
+            let paths: Vec<String> = e.membership.paths.iter().map(|(n, at)| format!("{n}={at}")).collect();
+            if paths.is_empty() { "none".into() } else { paths.join(" ") }
+        },
+    },
+    Setting {
+        section: "membership",
+        name: "expected",
+        kind: Kind::Count(1, 1024),
+        about: "members that there should be, this one included; more than half of them are a majority (next start)",
+        apply: |e, v| e.membership.expected = v.count(),
+        show: |e| e.membership.expected.to_string(),
+    },
+    Setting {
+        section: "membership",
+        name: "zone",
+        kind: Kind::Label(12),
+        about: "this ingress's zone, told to the others (next start)",
+        apply: |e, v| e.membership.zone = v.text().into(),
+        show: |e| optional(Some(&e.membership.zone).filter(|z| !z.is_empty())),
+    },
+    Setting {
+        section: "membership",
+        name: "period",
+        kind: Kind::Time(50, 60_000),
+        about: "one member is probed so often (next start)",
+        apply: |e, v| e.membership.period = v.time(),
+        show: |e| time(e.membership.period),
+    },
+    Setting {
+        section: "membership",
+        name: "timeout",
+        kind: Kind::Time(10, 20_000),
+        about: "a direct answer is awaited so long before others are asked; at most half of the period (next start)",
+        apply: |e, v| e.membership.timeout = v.time(),
+        show: |e| time(e.membership.timeout),
+    },
+    Setting {
+        section: "membership",
+        name: "gossip",
+        kind: Kind::Time(10, 60_000),
+        about: "news goes out so often (next start)",
+        apply: |e, v| e.membership.gossip = v.time(),
+        show: |e| time(e.membership.gossip),
+    },
+    Setting {
+        section: "membership",
+        name: "sync",
+        kind: Kind::Time(100, 600_000),
+        about: "all that is held is compared with one member so often (next start)",
+        apply: |e, v| e.membership.sync = v.time(),
+        show: |e| time(e.membership.sync),
+    },
+    Setting {
+        section: "membership",
+        name: "suspicion",
+        kind: Kind::Count(1, 100),
+        about: "least time of a suspicion in periods, times the logarithm of the members (next start)",
+        apply: |e, v| e.membership.suspicion = v.count() as u32,
+        show: |e| e.membership.suspicion.to_string(),
+    },
+    Setting {
+        section: "membership",
+        name: "datagrams",
+        kind: Kind::Count(10, 100_000),
+        about: "datagrams sent a second at most, of 256 bytes at most; further ones are dropped and counted",
+        apply: |e, v| e.membership.datagrams = v.count() as u32,
+        show: |e| e.membership.datagrams.to_string(),
+    },
+    Setting {
+        section: "membership",
+        name: "status",
+        kind: Kind::Path,
+        about: "where 'roseyard status' reads how the members are seen; written anew each second at most",
+        apply: |e, v| e.membership.status = Some(v.text().into()),
+        show: |e| optional(e.membership.status.as_ref().map(|f| format!("\"{}\"", f.display()))),
+    },
     Setting {
         section: "log",
         name: "lines",
@@ -479,4 +676,19 @@
     ("admission", "prefixes", "by-address"),
     ("standing", "every", "file"),
     ("standing", "most", "file"),
+    ("membership", "listen", "key-file"),
+    ("membership", "key-file", "listen"),
+    ("membership", "cluster", "listen"),
+    ("membership", "other-key-file", "listen"),
+    ("membership", "seeds", "listen"),
+    ("membership", "paths", "listen"),
+    ("membership", "expected", "listen"),
+    ("membership", "zone", "listen"),
+    ("membership", "period", "listen"),
+    ("membership", "timeout", "listen"),
+    ("membership", "gossip", "listen"),
+    ("membership", "sync", "listen"),
+    ("membership", "suspicion", "listen"),
+    ("membership", "datagrams", "listen"),
+    ("membership", "status", "listen"),
 ];
--- a/operator/src/value.rs
+++ b/operator/src/value.rs
@@ -3,7 +3,7 @@
 use ipnet::IpNet;
 use kdl::{KdlEntry, KdlNode, KdlValue};
 use miette::SourceSpan;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 /// What a setting holds, with its bounds.
@@ -31,6 +31,12 @@
     Word(&'static [&'static str]),
     /// The path of a file.
     Path,
+    /// A short name: letters, digits, dots, dashes and underscores, up to so many bytes.
+    Label(usize),
+    /// Addresses with ports, up to so many.
+    Addresses(usize),
+    /// Names and the addresses by which they are reached from here, up to so many.
+    Paths(usize),
 }
 
 /// What stands in the file.
@@ -45,10 +51,18 @@
     Named(Vec<(&'static str, u64)>),
     Ranges(Vec<IpNet>),
     Text(String),
+    Addresses(Vec<SocketAddr>),
+    Paths(Vec<(String, SocketAddr)>),
 }
 
 const PREFIXES: [(&str, u64, u64); 3] = [("v4", 8, 32), ("v6-client", 32, 128), ("v6", 16, 128)];
 
+/// Is this a name of letters, digits, dots, dashes and underscores, of 1 to `most` bytes?
+fn is_label(text: &str, most: usize) -> bool {
+    let good = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'.' | b'-' | b'_');
+    (1..=most).contains(&text.len()) && text.bytes().all(good)
+}
+
 /// What is wrong, and where.
 pub(crate) type Wrong = (SourceSpan, String);
 
@@ -73,6 +87,10 @@
             Kind::Bounds(most) => format!("least= and most= from 0 to {most}, least not above most"),
             Kind::Word(words) => words.join(" or "),
             Kind::Path => "the path of a file".into(),
+            Kind::Label(most) => format!("1 to {most} letters, digits, '.', '-' or '_'"),
+            Kind::Addresses(1) => "an address with a port such as \"127.0.0.1:7946\"".into(),
+            Kind::Addresses(most) => format!("1 to {most} addresses with ports such as \"127.0.0.1:7946\""),
+            Kind::Paths(most) => format!("1 to {most} names with addresses such as \"n1=127.0.0.1:7946\""),
         }
     }
 
@@ -98,6 +116,7 @@
         let plain: Vec<&KdlEntry> = node.entries().iter().filter(|e| e.name().is_none()).collect();
         let counts = match self {
             Kind::Ranges => 1..=4096,
+            Kind::Addresses(most) | Kind::Paths(most) => 1..=*most,
             Kind::Prefixes | Kind::Bounds(_) => 0..=0,
             _ => 1..=1,
         };
@@ -186,6 +205,24 @@
                 let text = text(entry)?;
                 Value::Text(Some(text).filter(|t| !t.is_empty()).ok_or_else(|| bad(entry))?)
             }
+            Kind::Label(most) => {
+                let entry = one()?;
+                let text = text(entry)?;
+                Value::Text(Some(text).filter(|t| is_label(t, *most)).ok_or_else(|| bad(entry))?)
+            }
+            Kind::Addresses(_) => {
+                let address = |entry: &&KdlEntry| text(entry)?.parse().map_err(|_| bad(entry));
+                Value::Addresses(plain.iter().map(address).collect::<Result<_, Wrong>>()?)
+            }
+            Kind::Paths(_) => {
+                let path = |entry: &&KdlEntry| {
+                    let text = text(entry)?;
+                    let (name, address) = text.split_once('=').ok_or_else(|| bad(entry))?;
+                    let address = address.parse().map_err(|_| bad(entry))?;
+                    Some((name.to_owned(), address)).filter(|_| is_label(name, 16)).ok_or_else(|| bad(entry))
+                };
+                Value::Paths(plain.iter().map(path).collect::<Result<_, Wrong>>()?)
+            }
         })
     }
 }
--- a/operator/tests/file.rs
+++ b/operator/tests/file.rs
@@ -43,7 +43,10 @@
     let lines = |text: &str| File::parse("f", text).unwrap_err().lines();
     for (text, said) in [
         ("admision { places 3 }", "f:1:1: there is no section 'admision'; did you mean 'admission'?"),
-        ("zzz { }", "f:1:1: there is no section 'zzz'; there are descriptors, admission, standing, log"),
+        (
+            "zzz { }",
+            "f:1:1: there is no section 'zzz'; there are descriptors, admission, standing, membership, log",
+        ),
         ("admission { plcaes 3 }", "f:1:13: 'admission' has no setting 'plcaes'; did you mean 'places'?"),
         ("admission", "f:1:1: 'admission' holds nothing; write 'admission { … }' or leave it out"),
         ("admission 4 { places 3 }", "f:1:11: 'admission' holds settings in braces, not values"),
