--- a/membership/tests/common/mod.rs
+++ b/membership/tests/common/mod.rs
@@ -65,6 +65,9 @@
     way: BTreeMap<(Duration, u64), (usize, SocketAddr, Vec<u8>)>,
     sent: u64,
     lives: u64,
+    /// When each member that is not stopped wants to be called next.
+    dues: BTreeSet<(Duration, usize)>,
+    due: BTreeMap<usize, Duration>,
 }
 
 impl Fleet {
@@ -87,6 +90,8 @@
             way: BTreeMap::new(),
             sent: 0,
             lives: 0,
+            dues: BTreeSet::new(),
+            due: BTreeMap::new(),
         }
     }
 
@@ -118,10 +123,23 @@
     /// Killed: nothing of it is left.
     pub fn kill(&mut self, n: usize) {
         self.members.remove(&n);
+        self.arm(n);
+    }
+
+    fn arm(&mut self, n: usize) {
+        if let Some(at) = self.due.remove(&n) {
+            self.dues.remove(&(at, n));
+        }
+        let due = self.members.get(&n).filter(|m| !m.stopped).and_then(|m| m.swim.due());
+        if let Some(at) = due {
+            self.due.insert(n, at);
+            self.dues.insert((at, n));
+        }
     }
 
     pub fn stop(&mut self, n: usize) {
         self.members.get_mut(&n).unwrap().stopped = true;
+        self.arm(n);
     }
 
     pub fn wake(&mut self, n: usize) {
@@ -149,6 +167,7 @@
         let mut actions = Vec::new();
         member.swim.handle(self.now, event, &mut actions);
         let life = member.swim.me().life;
+        self.arm(n);
         for action in actions {
             match action {
                 Action::Send { to, body } => {
@@ -204,12 +223,7 @@
 
     /// The next thing that happens; false once nothing will before that time.
     fn step(&mut self, end: Duration) -> bool {
-        let due = self
-            .members
-            .iter()
-            .filter(|(_, m)| !m.stopped)
-            .filter_map(|(n, m)| Some((m.swim.due()?, *n)))
-            .min();
+        let due = self.dues.first().copied();
         let way = self.way.first_key_value().map(|(key, _)| *key);
         let next = due.map_or(Duration::MAX, |(at, _)| at).min(way.map_or(Duration::MAX, |(at, _)| at));
         if next > end {
