Write small files, rates, keys' marks and starts of the daemon by one piece each

Seen on rereading: the status file had a thread and a message of its own beside standing's, with a start of the thread that would have panicked where standing's is tried again; membership bounded its datagrams by a bucket of its own beside admission's rate, kept a second copy of its facts, and worded each reason for a drop a second time; the rig started the daemon as the flood tool does, in its own words; the lab listed the verdict's counts three times; a confirmed suspicion was set right in a place that the next lines undid.

Now program/files.rs writes both files, admission's Arrival and Rate bound the datagrams (a fifth of a second's at once, as before), facts come from the state machine, drops are counted by their reason, daemon::spawn starts both, Verdict::counts names its counts once. Log lines, status, settings and what the tests ask stay as they are.

--- a/engine/src/links.rs
+++ b/engine/src/links.rs
@@ -53,10 +53,15 @@
 }
 
 impl Links {
+    /// What is left by now of what was known when something was last told.
+    fn fade(&self, now: Duration) -> f64 {
+        (-now.saturating_sub(self.at).as_secs_f64() / FADES).exp()
+    }
+
     /// Tells what became of a request at this time: on a connection that had rested so long, or on a new one; and
     /// whether the connection broke after it was written.
     pub fn told(&mut self, rest: Option<Duration>, reset: bool, now: Duration) {
-        let fade = (-now.saturating_sub(self.at).as_secs_f64() / FADES).exp();
+        let fade = self.fade(now);
         self.at = self.at.max(now);
         for seen in &mut self.seen {
             (seen.all, seen.reset) = (seen.all * fade, seen.reset * fade);
@@ -68,7 +73,7 @@
 
     /// The chance that a request on a new connection is reset, and one on a connection that has rested so long.
     pub fn risks(&self, rest: Duration, now: Duration) -> (f64, f64) {
-        let fade = (-now.saturating_sub(self.at).as_secs_f64() / FADES).exp();
+        let fade = self.fade(now);
         let mut risk = 0.0;
         let mut new = 0.0;
         for (n, seen) in self.seen.iter().enumerate().take(kind(rest) + 1) {
--- a/ingress/src/program/mod.rs
+++ b/ingress/src/program/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod cli;
 pub mod config;
+mod files;
 mod standing;
 pub mod status;
 
@@ -63,7 +64,7 @@
     standing_due: Option<Duration>,
     /// The other ingresses, and who writes down what is known of them, where the operator wants that.
     members: Option<Members>,
-    status: Option<status::Writer>,
+    status: Option<status::Keeper>,
     status_due: Option<Duration>,
     /// How the program was started; its file is read again on SIGHUP.
     run: Option<Run>,
@@ -152,9 +153,8 @@
         let mut standing_due = None;
         keeper.arm(&mut standing_due, &mut io);
         let members =
-            Members::start(&membership, &config.name, standing::unix_ms(), config.seed ^ 0x5eed, &mut io)?;
-        let status =
-            members.is_some().then(|| membership.status.as_deref().map(status::Writer::new)).flatten();
+            Members::start(&membership, &config.name, files::unix_ms(), config.seed ^ 0x5eed, &mut io)?;
+        let status = membership.status.as_deref().filter(|_| members.is_some()).map(status::Keeper::new);
         let mut status_due = None;
         if status.is_some() {
             io.deadlines.set(&mut status_due, Some(io.now), Party::Status);
--- a/ingress/src/program/status.rs
+++ b/ingress/src/program/status.rs
@@ -1,41 +1,34 @@
 //! `roseyard status`: what an ingress wrote of the others, and showing it.
 
-use super::standing::{replace, unix_ms};
+use super::files::{unix_ms, Writer};
 use crate::routing::members::{Members, Status};
 use std::fs;
 use std::path::{Path, PathBuf};
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 /// Longest file that is read.
 const MOST_BYTES: u64 = 4 << 20;
 
-/// Writes the status file, each second at most.
-pub struct Writer {
+/// Writes the status file.
+pub struct Keeper {
     path: PathBuf,
-    /// Writes apart from the loop: guards against a slow disk that would hold every request up.
-    writer: Option<JoinHandle<()>>,
+    writer: Writer,
 }
 
-impl Writer {
-    /// A writer of this file.
-    pub fn new(path: &Path) -> Writer {
-        Writer { path: path.to_owned(), writer: None }
+impl Keeper {
+    /// A keeper of this file.
+    pub fn new(path: &Path) -> Keeper {
+        Keeper { path: path.to_owned(), writer: Writer::new("status", "status.write") }
     }
 
     /// Writes what is known now, unless the last writing still goes on.
     pub fn write(&mut self, members: &Members, now: Duration) {
-        if self.writer.as_ref().is_some_and(|w| !w.is_finished()) {
+        if self.writer.is_busy() {
             return;
         }
-        let Ok(text) = simd_json::to_string_pretty(&members.status(unix_ms(), now)) else { return };
-        let path = self.path.clone();
-        self.writer = Some(std::thread::spawn(move || {
-            if let Err(e) = replace(&path, text.as_bytes()) {
-                let file = path.display();
-                tracing::warn!(event = "status.write", %file, why = %e, "status: {file}: not written: {e}");
-            }
-        }));
+        if let Ok(text) = simd_json::to_string_pretty(&members.status(unix_ms(), now)) {
+            self.writer.begin(self.path.clone(), text.into_bytes());
+        }
     }
 }
 
--- a/ingress/src/routing/members.rs
+++ b/ingress/src/routing/members.rs
@@ -3,8 +3,9 @@
 
 use super::{Io, Party};
 use crate::transport::Datagrams;
+use roseyard_admission::{Arrival, Rate};
 use roseyard_membership::{
-    wire, Action, Dropped, Event, Facts, Guard, Key, Name, Settings, Stage, Standing, Swim,
+    wire, Action, Dropped, Event, Facts, Guard, Key, Name, Settings, Stage, Standing, Swim, View,
 };
 use roseyard_operator::Membership;
 use serde::{Deserialize, Serialize};
@@ -72,13 +73,12 @@
     socket: Datagrams,
     swim: Swim,
     guard: Guard,
-    facts: Facts,
     due: Option<Duration>,
-    /// Datagrams that may be sent now, and as of when.
-    tokens: f64,
-    filled: Duration,
-    per_second: f64,
+    /// Datagrams that may be sent, and those that were.
+    rate: Rate,
+    sent: Arrival,
     counts: BTreeMap<&'static str, u64>,
+    dropped: BTreeMap<Dropped, u64>,
     actions: Vec<Action>,
 }
 
@@ -107,6 +107,17 @@
     files.map(|path| key(path)).collect()
 }
 
+/// What tells keys apart in log lines.
+fn marks(keys: &[Key]) -> String {
+    keys.iter().map(Key::mark).collect::<Vec<_>>().join(" ")
+}
+
+/// So many datagrams a second, a fifth of them at once.
+fn rate(operator: &Membership) -> Rate {
+    let per_second = f64::from(operator.datagrams);
+    Rate { per_second, burst: (per_second / 5.0).max(8.0) }
+}
+
 impl Members {
     /// Opens the socket, if the operator has set where. `life` is the Unix time of this start in milliseconds.
     pub fn start(
@@ -136,21 +147,20 @@
         };
         let zone = operator.zone.as_str().try_into().unwrap_or_default();
         let facts = Facts { zone, ..Facts::default() };
-        let marks: Vec<String> = keys.iter().map(Key::mark).collect();
+        let (cluster, keys_held) = (&operator.cluster, marks(&keys));
         tracing::info!(
-            event = "membership.listening", %address, cluster = operator.cluster, keys = marks.join(" "),
-            "membership: {name} of cluster {} listens on {address}, keys {}", operator.cluster, marks.join(" ")
+            event = "membership.listening", %address, cluster, keys = keys_held,
+            "membership: {name} of cluster {cluster} listens on {address}, keys {keys_held}"
         );
         let mut members = Members {
             guard: Guard::new(&operator.cluster, keys, me, NAMES),
-            swim: Swim::new(settings, me, address, life, facts.clone(), seed),
+            swim: Swim::new(settings, me, address, life, facts, seed),
             socket,
-            facts,
             due: None,
-            tokens: f64::from(operator.datagrams) / 5.0,
-            filled: io.now,
-            per_second: f64::from(operator.datagrams),
+            rate: rate(operator),
+            sent: Arrival::default(),
             counts: BTreeMap::new(),
+            dropped: BTreeMap::new(),
             actions: Vec::new(),
         };
         members.tell(Event::Due, io);
@@ -159,11 +169,10 @@
 
     /// The operator's file was read again: its keys hold, and its bound on what is sent.
     pub fn set(&mut self, operator: &Membership) {
-        self.per_second = f64::from(operator.datagrams);
+        self.rate = rate(operator);
         match keys(operator) {
             Ok(keys) => {
-                let marks: Vec<String> = keys.iter().map(Key::mark).collect();
-                let marks = marks.join(" ");
+                let marks = marks(&keys);
                 tracing::info!(event = "membership.keys", marks, "membership: keys {marks}");
                 self.guard.set_keys(keys);
             }
@@ -175,8 +184,8 @@
 
     /// This ingress serves now.
     pub fn serving(&mut self, io: &mut Io) {
-        self.facts.stage = Stage::Serving;
-        self.tell(Event::Facts(self.facts.clone()), io);
+        let facts = Facts { stage: Stage::Serving, ..self.swim.me().facts.clone() };
+        self.tell(Event::Facts(facts), io);
     }
 
     /// This ingress leaves.
@@ -204,14 +213,7 @@
             };
             match heard {
                 Ok(event) => self.tell(event, io),
-                Err(why) => self.count(match why {
-                    Dropped::Malformed => "dropped: malformed",
-                    Dropped::Version => "dropped: another version",
-                    Dropped::Cluster => "dropped: another cluster",
-                    Dropped::Forged => "dropped: not authentic",
-                    Dropped::Replayed => "dropped: replayed",
-                    Dropped::Crowded => "dropped: too many names",
-                }),
+                Err(why) => *self.dropped.entry(why).or_default() += 1,
             }
         }
     }
@@ -268,14 +270,9 @@
 
     /// Guards against more traffic than the operator allows, whatever asks for it.
     fn send(&mut self, to: std::net::SocketAddr, body: &[u8], io: &Io) {
-        let since = io.now.saturating_sub(self.filled).as_secs_f64();
-        self.filled = io.now;
-        let most = (self.per_second / 5.0).max(8.0);
-        self.tokens = (self.tokens + since * self.per_second).min(most);
-        if self.tokens < 1.0 {
+        if self.sent.take(io.now, self.rate).is_err() {
             return self.count("not sent: over the bound");
         }
-        self.tokens -= 1.0;
         let sealed = self.guard.seal(self.swim.me().life, body);
         let taken = self.socket.send(&sealed, to);
         self.count(if taken { "sent" } else { "not sent: not taken by the system" });
@@ -284,7 +281,7 @@
     /// All that is known; `written` is the Unix time in milliseconds.
     pub fn status(&self, written: u64, now: Duration) -> Status {
         let (me, quorum, counted) = (self.swim.me(), self.swim.quorum(), self.swim.counts());
-        let member = |(name, view): (Name, roseyard_membership::View)| {
+        let member = |(name, view): (Name, View)| {
             let record = view.record?;
             Some(MemberStatus {
                 name: name.to_string(),
@@ -298,6 +295,7 @@
         };
         let mut counts: BTreeMap<String, u64> =
             self.counts.iter().map(|(what, n)| ((*what).to_owned(), *n)).collect();
+        counts.extend(self.dropped.iter().map(|(why, n)| (format!("dropped: {why}"), *n)));
         for (what, n) in [
             ("probes", counted.probes),
             ("probes failed", counted.failed),
--- a/lab/src/daemon.rs
+++ b/lab/src/daemon.rs
@@ -5,7 +5,7 @@
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::time::Duration;
 
 /// The daemon's program: the one given, or the one beside this program. An error names what was looked for.
@@ -22,6 +22,24 @@
     Err(io::Error::new(io::ErrorKind::NotFound, what))
 }
 
+/// Starts the program by this configuration and operator's file; what it logs can be read.
+pub(crate) fn spawn(
+    program: &Path,
+    settings: Option<&Path>,
+    config: &Path,
+) -> io::Result<(Child, BufReader<ChildStderr>)> {
+    let mut command = Command::new(program);
+    if let Some(file) = settings {
+        command.arg("run").arg("--settings").arg(file);
+    }
+    for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
+        command.env_remove(name);
+    }
+    let mut child = command.env("LB_CONFIG", config).stderr(Stdio::piped()).spawn()?;
+    let log = BufReader::new(child.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?);
+    Ok((child, log))
+}
+
 /// A running daemon; ended with this value.
 pub struct Daemon {
     child: Child,
@@ -47,15 +65,7 @@
         let folder = tempfile::tempdir()?;
         let config = folder.path().join("config.json");
         fs::write(&config, configuration(around, start.sockets).to_string())?;
-        let mut command = Command::new(&start.program);
-        if let Some(file) = &start.settings {
-            command.arg("run").arg("--settings").arg(file);
-        }
-        for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
-            command.env_remove(name);
-        }
-        let mut child = command.env("LB_CONFIG", &config).stderr(Stdio::piped()).spawn()?;
-        let mut log = BufReader::new(child.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?);
+        let (child, mut log) = spawn(&start.program, start.settings.as_deref(), &config)?;
         let (mut address, mut line) = (None, String::new());
         while !line.contains("info: ready") {
             line.clear();
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -91,6 +91,20 @@
     pub broken: Vec<String>,
 }
 
+impl Verdict {
+    /// What was counted, by name.
+    pub fn counts(&self) -> [(&'static str, u64); 6] {
+        [
+            ("asked", self.asked),
+            ("served", self.served),
+            ("refused", self.refused),
+            ("failed", self.failed),
+            ("excused", self.excused),
+            ("attempts", self.attempts),
+        ]
+    }
+}
+
 #[derive(Default)]
 struct Seen {
     repeatable: bool,
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -114,40 +114,16 @@
     if args.json {
         let steps: Vec<_> =
             played.trace.iter().zip(&played.at).map(|(deed, at)| (at.as_secs_f64(), deed)).collect();
-        let counts = [
-            verdict.asked,
-            verdict.served,
-            verdict.refused,
-            verdict.failed,
-            verdict.excused,
-            verdict.attempts,
-        ];
-        let names = ["asked", "served", "refused", "failed", "excused", "attempts"];
-        let counts: std::collections::BTreeMap<_, _> = names.iter().zip(counts).collect();
+        let counts: std::collections::BTreeMap<_, _> = verdict.counts().into_iter().collect();
         println!(
             "{}",
             serde_json::json!({"seed": scenario.seed, "steps": steps, "requests": counts,
                 "broken": verdict.broken, "standings": played.standings})
         );
     } else {
+        let (names, counts): (Vec<_>, Vec<_>) = verdict.counts().into_iter().unzip();
         let mut table = Table::new();
-        table.load_preset(ASCII_MARKDOWN).set_header([
-            "asked",
-            "served",
-            "refused",
-            "failed",
-            "excused",
-            "attempts",
-            "rules broken",
-        ]);
-        let counts = [
-            verdict.asked,
-            verdict.served,
-            verdict.refused,
-            verdict.failed,
-            verdict.excused,
-            verdict.attempts,
-        ];
+        table.load_preset(ASCII_MARKDOWN).set_header(names.into_iter().chain(["rules broken"]));
         table.add_row(counts.iter().map(u64::to_string).chain([verdict.broken.len().to_string()]));
         println!("{table}");
         let mut table = Table::new();
--- a/lab/src/rig.rs
+++ b/lab/src/rig.rs
@@ -1,16 +1,17 @@
 //! A fleet of real daemons on loopback, with stand-ins around them, faults between them, and signals.
 
+use crate::daemon::spawn;
 use crate::net::Net;
 use crate::site::{configuration, request, Around};
 use crate::standins;
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use std::fs;
-use std::io::{self, BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::Child;
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::runtime::{Builder, Runtime};
@@ -198,17 +199,11 @@
         text["name"] = Value::from(member.name.clone());
         let config = self.folder.path().join(format!("config-{n}.json"));
         fs::write(&config, text.to_string())?;
-        let mut command = Command::new(&self.spec.program);
-        command.arg("run").arg("--settings").arg(settings);
-        for name in ["LB_NAME", "LB_LISTEN", "LB_DISCOVERY"] {
-            command.env_remove(name);
-        }
         let mark = member.log.mark();
-        let mut child = command.env("LB_CONFIG", &config).stderr(Stdio::piped()).spawn()?;
-        let lines = BufReader::new(child.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?).lines();
+        let (child, lines) = spawn(&self.spec.program, Some(settings), &config)?;
         member.child = Some(child);
         let log = Arc::clone(&member.log);
-        std::thread::spawn(move || lines.map_while(Result::ok).for_each(|line| log.push(line)));
+        std::thread::spawn(move || lines.lines().map_while(Result::ok).for_each(|line| log.push(line)));
         let at = |line: String, before: &str| {
             let rest = line.split_once(before).map(|(_, rest)| rest.to_owned()).unwrap_or_default();
             let word = rest.split([',', ' ']).next().unwrap_or_default().to_owned();
--- a/membership/src/swim.rs
+++ b/membership/src/swim.rs
@@ -834,14 +834,11 @@
         let before = m.record.clone();
         let new = m.record.merge(word);
         let same = (before.life, before.round) == (m.record.life, m.record.round);
-        // Another's suspicion of the same round confirms ours.
+        // Another's suspicion of the same round confirms the one that is held.
         let mut confirms = false;
-        if let (true, Status::Suspect(_), Status::Suspect(mark)) = (same, m.record.status, word.status) {
-            let told = (word.life, word.round) == (m.record.life, m.record.round) && !m.by.contains(&mark);
-            confirms = told && m.by.try_push(mark).is_ok();
-            if confirms && before.status != m.record.status {
-                m.by.retain(|b| *b == mark);
-            }
+        let again = (before.life, before.round) == (word.life, word.round);
+        if let (true, Status::Suspect(_), Status::Suspect(mark)) = (again, before.status, word.status) {
+            confirms = !m.by.contains(&mark) && m.by.try_push(mark).is_ok();
             if confirms {
                 // Told on under the new mark, so that others count it too.
                 m.record.status = word.status;
--- a/operator/src/schema.rs
+++ b/operator/src/schema.rs
@@ -156,6 +156,15 @@
     value.map_or_else(|| "none".into(), |v| v.to_string())
 }
 
+fn file(path: &Option<PathBuf>) -> String {
+    optional(path.as_ref().map(|f| format!("\"{}\"", f.display())))
+}
+
+/// One after the other, or that there are none.
+fn all<T>(of: &[T], word: impl Fn(&T) -> String) -> String {
+    optional(Some(of.iter().map(word).collect::<Vec<_>>().join(" ")).filter(|_| !of.is_empty()))
+}
+
 fn rate(rate: Option<Rate>) -> String {
     optional(rate.map(|r| format!("{} burst={}", r.per_second, r.burst)))
 }
@@ -498,7 +507,7 @@
         kind: Kind::Path,
         about: "where standing is kept over a restart, on a disk that lasts",
         apply: |e, v| e.standing.file = Some(v.text().into()),
-        show: |e| optional(e.standing.file.as_ref().map(|f| format!("\"{}\"", f.display()))),
+        show: |e| file(&e.standing.file),
     },
     Setting {
         section: "standing",
@@ -541,7 +550,7 @@
         kind: Kind::Path,
         about: "the key that seals: 64 hex digits in a file that only its owner may read (read again on SIGHUP)",
         apply: |e, v| e.membership.key_file = Some(v.text().into()),
-        show: |e| optional(e.membership.key_file.as_ref().map(|f| format!("\"{}\"", f.display()))),
+        show: |e| file(&e.membership.key_file),
     },
     Setting {
         section: "membership",
@@ -549,7 +558,7 @@
         kind: Kind::Path,
         about: "a second key that opens too, during a rotation (read again on SIGHUP)",
         apply: |e, v| e.membership.other_key_file = Some(v.text().into()),
-        show: |e| optional(e.membership.other_key_file.as_ref().map(|f| format!("\"{}\"", f.display()))),
+        show: |e| file(&e.membership.other_key_file),
     },
     Setting {
         section: "membership",
@@ -557,10 +566,7 @@
         kind: Kind::Addresses(64),
         about: "where members are asked to be let in; this ingress's own address does no harm (next start)",
         apply: |e, v| e.membership.seeds = v.addresses().to_vec(),
-        show: |e| {
-            let seeds: Vec<String> = e.membership.seeds.iter().map(ToString::to_string).collect();
-            if seeds.is_empty() { "none".into() } else { seeds.join(" ") }
-        },
+        show: |e| all(&e.membership.seeds, ToString::to_string),
     },
     Setting {
         section: "membership",
@@ -572,10 +578,7 @@
                 e.membership.paths = paths.clone();
             }
         },
-        show: |e| {
-            let paths: Vec<String> = e.membership.paths.iter().map(|(n, at)| format!("{n}={at}")).collect();
-            if paths.is_empty() { "none".into() } else { paths.join(" ") }
-        },
+        show: |e| all(&e.membership.paths, |(n, at)| format!("{n}={at}")),
     },
     Setting {
         section: "membership",
@@ -647,7 +650,7 @@
         kind: Kind::Path,
         about: "where 'roseyard status' reads how the members are seen; written anew each second at most",
         apply: |e, v| e.membership.status = Some(v.text().into()),
-        show: |e| optional(e.membership.status.as_ref().map(|f| format!("\"{}\"", f.display()))),
+        show: |e| file(&e.membership.status),
     },
     Setting {
         section: "log",
