Lose no word of discovery: indented, cut, unreadable, older, slow, and read before a move

Now the watch is opened anew after the version held, and only a second unreadable one is passed over; - a list with an older version brought a drained server back, a restarted one's old start, and ended servers that it lacks (Fleet::apply). Now each server keeps the version of its latest word, and an older word makes none serve; - a call that was answered after more than 1 s was given up each time just before (list_first): the wait now grows; - SIGHUP dropped the old watch with news in its socket unread (move_to). Ruled out: news right before a reset, and a watch cut within a line, lose nothing (tests pass before and after).

--- a/engine/src/fleet.rs
+++ b/engine/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::list::{List, Target};
 use roseyard::{ListUpdate, ServerEntry, ServerId, ServerState};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,6 +14,8 @@
     /// What discovery last said of it.
     pub state: ServerState,
     started: Option<Duration>,
+    /// Version of the latest word on it.
+    rev: u64,
     /// What the module was last told of it.
     told: ServerEntry,
 }
@@ -24,11 +26,16 @@
 pub struct Fleet {
     servers: BTreeMap<ServerId, Server>,
     numbers: HashMap<String, ServerId>,
+    /// Servers that were told gone: the version that told it, and when they had started. The latest.
+    gone: VecDeque<(String, u64, Option<Duration>)>,
     next: u32,
     /// Version of the list.
     pub rev: u64,
 }
 
+/// So many of the servers that are gone are kept in mind: far more than are replaced while an agent is behind.
+const GONE: usize = 512;
+
 /// FNV-1a: the same at every ingress, whatever order it heard of the servers in.
 fn rank(uid: &str) -> u64 {
     uid.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
@@ -65,7 +72,10 @@
         let mut change = Change { update: ListUpdate::Failed, stale: Vec::new(), bad: list.unreadable };
         let mut entries = Vec::with_capacity(list.targets.len());
         for target in &list.targets {
-            match self.entry(target, zones, &started, &mut change.stale) {
+            if self.outdated(target, list.rev, started(target.boot_ms)) {
+                continue;
+            }
+            match self.entry(target, list.rev, zones, &started, &mut change.stale) {
                 Some((entry, settled)) => {
                     if settled {
                         self.supersede(entry.server, &mut entries, &mut change.stale);
@@ -77,25 +87,46 @@
         }
         if list.all {
             for (id, server) in &mut self.servers {
-                if !entries.iter().any(|e| e.server == *id) {
+                // Guards against an agent that is behind, or has nothing yet: what it lacks may be newer than its list.
+                if server.rev <= list.rev && !entries.iter().any(|e| e.server == *id) {
                     server.state = ServerState::Gone;
                     change.stale.push(*id);
                 }
             }
         }
-        let numbers = &mut self.numbers;
+        let (numbers, remembered) = (&mut self.numbers, &mut self.gone);
         self.servers.retain(|_, s| {
             let gone = s.state == ServerState::Gone;
             if gone {
                 numbers.remove(&s.uid);
+                remembered.push_back((s.uid.clone(), s.rev.max(list.rev), s.started));
             }
             !gone
         });
+        while self.gone.len() > GONE {
+            self.gone.pop_front();
+        }
+        if list.all {
+            // What the list lacks and is kept all the same is told to the module with the rest.
+            let listed: HashSet<ServerId> = entries.iter().map(|e| e.server).collect();
+            let kept = self.servers.iter().filter(|(id, _)| !listed.contains(id));
+            entries.extend(kept.map(|(_, s)| s.told.clone()).collect::<Vec<_>>());
+        }
         self.rev = list.rev;
         change.update = if list.all { ListUpdate::Full(entries) } else { ListUpdate::Changes(entries) };
         change
     }
 
+    /// Guards against an agent that is behind: an older word that a server serves does not bring back one that was
+    /// told to leave since, nor the time of its start before the last. One that has started since counts.
+    fn outdated(&self, target: &Target, rev: u64, started: Option<Duration>) -> bool {
+        let later = |told: u64, since: Option<Duration>| rev < told && started <= since;
+        let held = self.numbers.get(&target.uid).and_then(|id| self.servers.get(id));
+        target.state == "SERVING"
+            && (held.is_some_and(|s| later(s.rev, s.started))
+                || self.gone.iter().any(|(uid, told, since)| *uid == target.uid && later(*told, *since)))
+    }
+
     /// Guards against a new server at the address of one that is gone but was not told gone: the old one's
     /// connections, load and health are not the new one's.
     fn supersede(&mut self, by: ServerId, entries: &mut Vec<ServerEntry>, stale: &mut Vec<ServerId>) {
@@ -112,6 +143,7 @@
     fn entry(
         &mut self,
         target: &Target,
+        rev: u64,
         zones: &[String],
         started: &impl Fn(f64) -> Option<Duration>,
         stale: &mut Vec<ServerId>,
@@ -146,12 +178,14 @@
             address,
             state,
             started,
+            rev,
             told: told.clone(),
         });
         if state != ServerState::Ready || server.started != started || server.address != address {
             stale.push(id);
         }
         (server.address, server.state, server.started, server.told) = (address, state, started, told.clone());
+        server.rev = server.rev.max(rev);
         Some((told, state == ServerState::Ready && known != Some(address)))
     }
 }
--- a/ingress/src/protocol/list.rs
+++ b/ingress/src/protocol/list.rs
@@ -2,7 +2,51 @@
 
 pub use roseyard_engine::{List, Target};
 
-/// Decodes one line of a watch, in place.
+/// Finds the lists in what a watch brings. Each is one JSON object, on one line or indented over several; an empty
+/// line tells that nothing has changed.
+#[derive(Default)]
+pub struct Lists {
+    held: Vec<u8>,
+    /// Braces and brackets open, and whether the last byte stands in a text, or behind a backslash there.
+    depth: usize,
+    text: bool,
+    escaped: bool,
+}
+
+impl Lists {
+    /// Bytes of a list whose rest is still to come.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Takes bytes in; lists, empty lines and what can be neither go to `found`.
+    pub fn take(&mut self, bytes: &[u8], found: &mut Vec<Vec<u8>>) {
+        for byte in bytes {
+            if *byte == b'\n' && self.ends() {
+                found.push(std::mem::take(self).held);
+                continue;
+            }
+            self.held.push(*byte);
+            match *byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.text => self.escaped = true,
+                b'"' => self.text = !self.text,
+                b'{' | b'[' if !self.text => self.depth += 1,
+                b'}' | b']' if !self.text => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            }
+        }
+    }
+
+    /// Does the end of this line end what is held? It is whole, or nothing, or was cut: no text goes over a line, and
+    /// no list has an empty one.
+    fn ends(&self) -> bool {
+        let line = self.held.rsplit(|b| *b == b'\n').next().unwrap_or_default();
+        self.depth == 0 || self.text || line.trim_ascii().is_empty()
+    }
+}
+
+/// Decodes one list of a watch, in place.
 pub fn decode(line: &mut [u8]) -> Result<List, String> {
     roseyard_settings::decode(line)
 }
@@ -32,7 +76,56 @@
         assert_eq!((list.targets[1].uid.as_str(), list.targets[1].state.as_str()), ("s-2", "DRAINING"));
     }
 
+    fn found(parts: &[&str]) -> Vec<String> {
+        let (mut lists, mut found) = (Lists::default(), Vec::new());
+        parts.iter().for_each(|part| lists.take(part.as_bytes(), &mut found));
+        found.into_iter().map(|f| String::from_utf8(f).unwrap()).collect()
+    }
+
+    #[test]
+    fn what_was_cut_is_handed_over_as_it_is_and_takes_no_list_with_it() {
+        for cut in [
+            "{\"rev\":4,\"all\"\n\n",
+            "{\"rev\":4,\n  \"all\"\n  \n",
+            "{\"a\":\"x\n",
+            "no list\n",
+            "}\n",
+            "]]\n",
+        ] {
+            let all = found(&[cut, "{\"rev\":1}\n", "\n"]);
+            assert_eq!(all.len(), 3, "{cut:?}: {all:?}");
+            assert_eq!(all[1..], ["{\"rev\":1}", ""], "{cut:?}");
+        }
+    }
+
     proptest! {
+        #[test]
+        fn lists_are_found_however_they_are_indented_and_their_bytes_come(
+            names in proptest::collection::vec("[a-z{}\\[\\]\\\\\"\n ]{0,6}", 0..6),
+            indented in proptest::collection::vec(any::<bool>(), 6),
+            cuts in proptest::collection::vec(1usize..9, 1..60),
+        ) {
+            let mut text = String::new();
+            for (name, indented) in names.iter().zip(indented) {
+                let value = serde_json::json!({"rev": 3, "targets": [{"uid": name}, {}, []]});
+                let line = if indented { format!("{value:#}") } else { value.to_string() };
+                text += &format!("{line}\n\n");
+            }
+            let (mut rest, mut parts, mut cuts) = (&text[..], Vec::new(), cuts.iter().cycle());
+            while !rest.is_empty() {
+                let (part, after) = rest.split_at(rest.len().min(*cuts.next().unwrap()));
+                parts.push(part);
+                rest = after;
+            }
+            let all = found(&parts);
+            prop_assert_eq!(all.len(), 2 * names.len());
+            for (pair, name) in all.chunks(2).zip(&names) {
+                let value: serde_json::Value = serde_json::from_str(&pair[0]).unwrap();
+                prop_assert_eq!(value["targets"][0]["uid"].as_str(), Some(name.as_str()));
+                prop_assert_eq!(&pair[1], "");
+            }
+        }
+
         #[test]
         fn any_value_in_any_field_of_an_entry_loses_no_other_entry(
             field in 0usize..7,
--- a/ingress/src/routing/core.rs
+++ b/ingress/src/routing/core.rs
@@ -101,7 +101,10 @@
 
     /// Discovery and the counter are at these addresses from now on. What is open stays open.
     pub fn move_to(&mut self, discovery: SocketAddr, counter: Option<SocketAddr>, io: &mut Io) {
-        if self.watch.move_to(discovery) {
+        if !self.watch.leads_to(discovery) {
+            // Guards against news that the old place has told and that was not read yet.
+            self.watch_read(io);
+            self.watch.move_to(discovery);
             self.watch_open(io);
         }
         match (&mut self.counter, counter) {
@@ -114,6 +117,11 @@
         }
     }
 
+    /// Every request gets its final answer now, and none is taken in any more.
+    pub fn stop(&mut self) {
+        self.life.stop();
+    }
+
     /// Has discovery answered on this watch?
     pub fn told(&self) -> bool {
         self.watch.told
--- a/ingress/src/routing/discovery.rs
+++ b/ingress/src/routing/discovery.rs
@@ -4,7 +4,7 @@
 use super::{Io, Party};
 use crate::limits::Limits;
 use crate::protocol::http::{self, Body};
-use crate::protocol::list;
+use crate::protocol::list::{self, Lists};
 use crate::transport::{connect, Fill, Ready, Stream};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,10 +17,14 @@
     serial: u32,
     up: bool,
     streaming: bool,
-    line: Vec<u8>,
+    lists: Lists,
     due: Option<Duration>,
     /// Calls in a row that brought no line.
     failed: u32,
+    /// Calls in a row that were given up for their silence.
+    unheard: u32,
+    /// The last call ended for what could not be read; the next such thing is passed over.
+    garbled: bool,
     rng: fastrand::Rng,
     pub(super) told: bool,
 }
@@ -33,20 +37,31 @@
             serial: 0,
             up: false,
             streaming: false,
-            line: Vec::new(),
+            lists: Lists::default(),
             due: None,
             failed: 0,
+            unheard: 0,
+            garbled: false,
             rng: fastrand::Rng::with_seed(seed),
             told: false,
         }
     }
 
-    /// Discovery is at another address now; false if it is the same.
-    pub fn move_to(&mut self, address: SocketAddr) -> bool {
-        let moved = self.address != address;
+    /// Is discovery there?
+    pub fn leads_to(&self, address: SocketAddr) -> bool {
+        self.address == address
+    }
+
+    /// Discovery is at another address now.
+    pub fn move_to(&mut self, address: SocketAddr) {
         self.address = address;
-        self.failed = 0;
-        moved
+        (self.failed, self.unheard, self.garbled) = (0, 0, false);
+    }
+
+    /// How long a new call may take to its first line: guards against one that is given up again and again a
+    /// moment before a slow discovery answers.
+    fn first_wait(&self, limits: &Limits) -> Duration {
+        (limits.list_first * self.unheard.max(1)).min(limits.list_silence)
     }
 
     /// How long to wait before the next call: guards against many ingresses that keep an overbooked discovery
@@ -90,13 +105,8 @@
             if chunk.is_empty() {
                 return Err("watch ended");
             }
-            for part in chunk.split_inclusive(|b| *b == b'\n') {
-                self.line.extend_from_slice(part);
-                if part.ends_with(b"\n") {
-                    lines.push(std::mem::take(&mut self.line));
-                }
-            }
-            if self.line.len() > limits.list_bytes {
+            self.lists.take(chunk, lines);
+            if self.lists.held() > limits.list_bytes {
                 return Err("line too long");
             }
             stream.take(used);
@@ -114,7 +124,7 @@
     pub(super) fn watch_open(&mut self, io: &mut Io) {
         let watch = &mut self.watch;
         (watch.up, watch.streaming) = (false, false);
-        watch.line.clear();
+        watch.lists = Lists::default();
         watch.stream = None;
         watch.serial = watch.serial.wrapping_add(1);
         let opened = connect(&watch.address, io.limits.chunk_bytes).and_then(|s| {
@@ -122,7 +132,8 @@
             Ok(s)
         });
         watch.stream = opened.ok();
-        let wait = if watch.stream.is_some() { io.limits.list_first } else { watch.back_off(&io.limits) };
+        let wait =
+            if watch.stream.is_some() { watch.first_wait(&io.limits) } else { watch.back_off(&io.limits) };
         if let Some(stream) = &mut watch.stream {
             http::put_watch(stream.output(), &watch.address.to_string(), self.life.fleet().rev);
         }
@@ -135,21 +146,28 @@
             return;
         }
         let mut lines = Vec::new();
-        let state = self.watch.read(ready, io, &mut lines);
+        let mut state = self.watch.read(ready, io, &mut lines);
         for mut line in lines {
             io.deadlines.set(&mut self.watch.due, Some(io.now + io.limits.list_silence), Party::Watch(0));
-            self.watch.failed = 0;
+            (self.watch.failed, self.watch.unheard) = (0, 0);
             if line.trim_ascii().is_empty() {
                 self.watch.told = true;
                 continue;
             }
             match list::decode(&mut line) {
                 Ok(list) => {
-                    self.watch.told = true;
+                    (self.watch.told, self.watch.garbled) = (true, false);
                     self.take_list(&list, io);
                 }
+                // Guards against a drain that is lost with the line that told it: it is asked for again, and only
+                // what cannot be read then either is passed over.
                 Err(e) => {
-                    tracing::warn!(event = "discovery.line", why = %e, "discovery: unreadable line: {e}")
+                    tracing::warn!(event = "discovery.line", why = %e, "discovery: unreadable line: {e}");
+                    self.watch.garbled = !self.watch.garbled;
+                    if self.watch.garbled {
+                        state = Err("unreadable line");
+                        break;
+                    }
                 }
             }
         }
@@ -161,10 +179,17 @@
         }
     }
 
+    /// Reads what has come on the watch before it is left.
+    pub(super) fn watch_read(&mut self, io: &mut Io) {
+        let ready = Ready { token: 0, readable: true, writable: false, ended: true };
+        self.on_watch(self.watch.serial, ready, io);
+    }
+
     /// Nothing came for too long, or it is time to call again.
     pub fn on_watch_due(&mut self, io: &mut Io) {
         self.watch.due = None;
         if self.watch.stream.take().is_some() {
+            self.watch.unheard += 1;
             let rev = self.life.fleet().rev;
             tracing::warn!(
                 event = "discovery.silent",
