Answer what comes during the drain, and send nothing on for clients that have left

Now an end that epoll tells ends the connection at once, and its requests are not taken in; - during the drain a request pipelined behind one that waits was never read, and one whose rest came after the listener closed was sent to a server, which may hang past SIGKILL: both are refused at once now; - a newcomer in the backlog was ended before its first request: it has 200 ms now. What no descriptor is left for is told -BUSY; it was reset with the listener; - requests at a server that hangs were left without an answer at the end, longest deadline + 0.6 s after SIGTERM, when SIGKILL may come 3.7 s after it: engine.stop() answers them after 3.6 s at the latest; - a new process sent by its configuration's old list before discovery had spoken: refused now, for 1 s at most; - word of a drain is read before the requests of the same round. Ruled out (tests pass before and after): leaving while counter, link or further attempt is awaited; SIGHUP beside SIGTERM; an endless answer; the idle close beside a request; unsafe classes under any name.

--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -98,11 +98,13 @@
     pub command_part: Duration,
     /// New connections are accepted for this long after SIGTERM.
     pub drain_accept: Duration,
+    /// And one that has asked nothing yet is waited for this long after that.
+    pub drain_newcomer: Duration,
     /// A connection whose sending we ended is closed after this at the latest.
     pub linger: Duration,
     /// And after this once the process is to end.
     pub last_linger: Duration,
-    /// The process ends this long after it has stopped accepting at the latest.
+    /// Every request has its final answer this long after accepting has ended: SIGKILL may come 0.1 s later.
     pub drain: Duration,
     /// What admission did is told this often at most.
     pub report: Duration,
@@ -163,9 +165,10 @@
             client_stall: ms(10_000),
             command_part: ms(2200),
             drain_accept: ms(600),
+            drain_newcomer: ms(200),
             linger: ms(3000),
             last_linger: ms(500),
-            drain: longest.max(ms(3000)),
+            drain: longest.min(ms(3000)),
             report: ms(5000),
         }
     }
--- a/ingress/src/program/mod.rs
+++ b/ingress/src/program/mod.rs
@@ -83,6 +83,8 @@
     Leaving,
     /// Nothing new is accepted; what is held is finished.
     Draining,
+    /// Everything has been answered; answers go out.
+    Stopping,
     /// The time is over.
     Over,
 }
@@ -262,22 +264,19 @@
         let mut answers = std::mem::take(&mut self.answers);
         self.io.poller.wait(wait, &mut ready).map_err(|e| format!("epoll: {e}"))?;
         self.io.now = now();
+        // Guards against requests that are decided by a list when word of a later one is there: discovery first.
+        let watched = |event: &Ready| matches!(Party::of_token(event.token), Party::Watch(_));
+        ready.iter().filter(|e| watched(e)).for_each(|e| self.on_ready(*e));
+        self.serve_once_told();
         self.front.resume(&mut self.core, &mut self.io);
-        for event in ready.drain(..) {
+        for event in ready.drain(..).filter(|e| !watched(e)) {
             self.on_ready(event);
         }
         // Answers that have come are taken in before the time-outs that they beat.
         while let Some(party) = self.io.deadlines.pop(self.io.now) {
             self.on_due(party);
         }
-        if !self.front.ready && (self.core.told() || self.ready_due.is_none()) {
-            self.front.ready = true;
-            self.io.deadlines.set(&mut self.ready_due, None, Party::Ready);
-            tracing::info!(event = "ready", "ready");
-            if let Some(members) = &mut self.members {
-                members.serving(&mut self.io);
-            }
-        }
+        self.serve_once_told();
         loop {
             self.core.run(&mut self.io);
             self.core.take_answers(&mut answers);
@@ -296,8 +295,25 @@
             self.front.accept(self.io.limits.round_accepts, &mut self.core, &mut self.io);
         }
         (self.ready, self.answers) = (ready, answers);
-        let idle = self.front.is_empty() && self.core.open_requests() == 0;
-        Ok(!(self.phase == Phase::Over || self.phase == Phase::Draining && idle))
+        let over = match self.phase {
+            Phase::Serving | Phase::Leaving => false,
+            Phase::Draining => self.front.is_empty() && self.core.open_requests() == 0,
+            Phase::Stopping => self.front.is_empty(),
+            Phase::Over => true,
+        };
+        Ok(!over)
+    }
+
+    /// `PING` is answered, and requests are served, once discovery has spoken or has had its time.
+    fn serve_once_told(&mut self) {
+        if !self.front.ready && (self.core.told() || self.ready_due.is_none()) {
+            self.front.ready = true;
+            self.io.deadlines.set(&mut self.ready_due, None, Party::Ready);
+            tracing::info!(event = "ready", "ready");
+            if let Some(members) = &mut self.members {
+                members.serving(&mut self.io);
+            }
+        }
     }
 
     /// Begins the end: accepts for a while, then finishes what is held.
@@ -323,6 +339,18 @@
             let clients = self.front.len();
             tracing::info!(event = "draining", clients, "draining: no longer accepting, {clients} clients");
             io.deadlines.set(&mut self.drain_due, Some(io.now + io.limits.drain), Party::Drain);
+        } else if self.phase == Phase::Draining {
+            // Guards against requests that a server which hangs leaves without an answer.
+            self.phase = Phase::Stopping;
+            let open = core.open_requests();
+            tracing::info!(
+                event = "stopping",
+                open,
+                "stopping: {open} requests answered as failed or refused"
+            );
+            core.stop();
+            self.front.stop();
+            io.deadlines.set(&mut self.drain_due, Some(io.now + io.limits.last_linger), Party::Drain);
         } else {
             self.phase = Phase::Over;
         }
--- a/ingress/src/routing/doors.rs
+++ b/ingress/src/routing/doors.rs
@@ -133,10 +133,20 @@
         }
     }
 
-    /// Nothing is accepted any more.
+    /// Nothing is accepted any more. Guards against connections that the system has taken and that would be reset
+    /// with the listener: each that could not be taken in is told to come again.
     pub fn shut(&mut self, io: &mut Io) {
         io.deadlines.set(&mut self.paused, None, Party::Listener);
-        self.listener = None;
+        let Some(listener) = self.listener.take() else { return };
+        io.spare = None;
+        for _ in 0..io.limits.backlog {
+            match accept(&listener, io.limits.chunk_bytes) {
+                Ok((stream, _)) => turn_away(stream, self.gate.policy().advice),
+                Err(Errno::INTR | Errno::CONNABORTED) => {}
+                Err(_) => break,
+            }
+        }
+        io.spare = spare();
     }
 
     /// It is time to tell what was done, each limit for itself.
--- a/ingress/src/routing/front.rs
+++ b/ingress/src/routing/front.rs
@@ -41,7 +41,8 @@
     /// Bytes of the answers that wait behind others.
     waiting: usize,
     phase: Phase,
-    /// An end was told of: only then is there more to see behind a short read.
+    /// An end was told of: only then is there more to see behind a short read. The client has left: what it asked
+    /// and what it still says is of no more use.
     hup: bool,
     /// Reading stopped short until answers have gone out.
     blocked: bool,
@@ -120,6 +121,13 @@
         self.pending.is_empty() && self.stream.unwritten() == 0
     }
 
+    /// Between requests while the process ends. Guards against a newcomer whose first request is on its way when
+    /// its connection ends.
+    fn is_over(&self, now: Duration, limits: &Limits) -> bool {
+        let heard = self.first > 0 || now >= self.used + limits.drain_newcomer;
+        self.phase == Phase::Open && self.free() && self.stream.input().is_empty() && heard
+    }
+
     /// The next time at which it must have moved on.
     fn next_due(&self, patience: Duration, limits: &Limits) -> Option<Duration> {
         if self.phase == Phase::Lingering {
@@ -217,6 +225,16 @@
     }
 }
 
+/// How long a connection may rest; while the process ends, only as long as a newcomer's first request may take.
+fn patience(gate: &Gate, key: Key, draining: bool, limits: &Limits) -> Duration {
+    let patience = gate.patience(conn(key));
+    if draining {
+        patience.min(limits.drain_newcomer)
+    } else {
+        patience
+    }
+}
+
 fn answer_bytes(answer: Answer) -> Vec<u8> {
     match answer {
         Answer::Served(value) => {
@@ -413,7 +431,7 @@
     /// Sees to it that the client's next deadline is heard of; a later one waits for the one that is set.
     fn arm(&mut self, key: Key, io: &mut Io) {
         let Some(client) = self.clients.get_mut(key) else { return };
-        let patience = self.doors.gate.patience(conn(key));
+        let patience = patience(&self.doors.gate, key, self.draining, &io.limits);
         let Some(at) = client.next_due(patience, &io.limits) else { return };
         if client.due.is_none_or(|due| at < due) {
             io.deadlines.set(&mut client.due, Some(at), Party::Client(key));
@@ -466,10 +484,15 @@
         let behind = client.stream.unwritten() > io.limits.unread_bytes;
         client.blocked = behind || client.pending.len() >= io.limits.pipelined;
         if client.blocked {
+            // Guards against requests that are sent on for a client that has left while its reading was paused.
+            if client.hup {
+                self.gone(key, false, core, io);
+            }
             return;
         }
         client.used = io.now;
         let filled = client.stream.fill(most, io.limits.chunk_bytes, client.hup);
+        client.hup |= matches!(filled, Fill::Ended | Fill::Broken);
         let full = self.parse(key, core, io);
         let Some(client) = self.clients.get_mut(key) else { return };
         // Guards against a command whose words are each short enough but which never ends: it would be held,
@@ -481,13 +504,12 @@
         let Some(client) = self.clients.get_mut(key) else { return };
         let part = client.phase == Phase::Open && !full && !client.stream.input().is_empty();
         client.begun = client.begun.or(Some(io.now)).filter(|_| part);
-        if matches!(filled, Fill::Ended | Fill::Broken) {
+        if client.hup {
             // What it could not read is told all the same to one that has only ended its sending.
             let _ = client.stream.flush();
             return self.gone(key, part, core, io);
         }
-        if self.draining && filled == Fill::Drained && !full && !part && client.phase == Phase::Open {
-            client.phase = Phase::Ending;
+        if self.draining {
             self.touch(key);
         }
         if full || filled == Fill::Limited {
@@ -546,6 +568,11 @@
                 refused
             };
             match command {
+                // Guards against counting and sending on what nobody waits for.
+                Ok(Command::Request(..)) if client.hup => {}
+                // Guards against a request that was on its way when the drain began and would wait for a server
+                // past the end of the process; and against one that is sent by a list from before the start.
+                Ok(Command::Request(..)) if self.draining || !self.ready => client.reply(&busy(None)),
                 // Guards against one client that names another's open request: servers would drop one of them.
                 Ok(Command::Request(_, id)) if self.open.contains(&id) => {
                     tell(Event::Wrong(name), io);
@@ -611,10 +638,19 @@
             if unwritten > 0 {
                 client.stall = client.stall.or(Some((io.now + io.limits.client_stall, unwritten)));
             } else {
-                (client.stall, client.used) = (None, io.now);
+                client.stall = None;
+                client.used = if client.first > 0 { io.now } else { client.used };
                 client.stream.trim(8 * io.limits.chunk_bytes);
             }
             let blocked = std::mem::take(&mut client.blocked);
+            if self.draining && !blocked && client.is_over(io.now, &io.limits) {
+                // What has come behind the last answer is answered too.
+                match client.stream.quiet() {
+                    true => client.phase = Phase::Ending,
+                    false => self.queue(key),
+                }
+            }
+            let Some(client) = self.clients.get_mut(key) else { continue };
             if unwritten == 0 && client.phase == Phase::Ending && client.pending.is_empty() {
                 // Closing at once would send a reset if more input has come, which destroys answers on their
                 // way: what comes is thrown away until the other side ends too.
@@ -651,7 +687,7 @@
             true => (io.now + io.limits.client_stall, unwritten),
             false => (at, before),
         });
-        let patience = self.doors.gate.patience(conn(key));
+        let patience = patience(&self.doors.gate, key, self.draining, &io.limits);
         if client.next_due(patience, &io.limits).is_none_or(|at| at > io.now) {
             return self.arm(key, io);
         }
@@ -667,25 +703,43 @@
             if !client.stream.quiet() {
                 return self.read(key, core, io);
             }
+            if self.draining {
+                return self.touch(key);
+            }
             fault = self.doors.gate.standing(conn(key), io.now) <= Some(Standing::Silent);
         }
         self.gone(key, fault, core, io);
     }
 
-    /// Takes in what still waits at the listener, then ends the connections, each after its last answer.
+    /// Takes in what still waits at the listener, then ends the connections, each after its last answer. What comes
+    /// from now on is refused at once: an answer to it might come later than the end of the process.
     pub fn drain(&mut self, core: &mut Core, io: &mut Io) {
         self.accept(io.limits.backlog.unsigned_abs() as usize, core, io);
         self.doors.shut(io);
-        self.draining = true;
         let keys: Vec<Key> = self.clients.iter().map(|(key, _)| key).collect();
-        for key in keys {
-            if let Some(client) = self.clients.get_mut(key).filter(|c| c.phase == Phase::Lingering) {
+        for key in &keys {
+            if let Some(client) = self.clients.get_mut(*key).filter(|c| c.phase == Phase::Lingering) {
                 client.linger = client.linger.min(io.now + io.limits.last_linger);
             }
-            self.read(key, core, io);
+            self.read(*key, core, io);
+        }
+        self.draining = true;
+        for key in keys {
+            self.touch(key);
             self.arm(key, io);
         }
     }
+
+    /// Every request has had its answer: no connection is waited for any longer.
+    pub fn stop(&mut self) {
+        let keys: Vec<Key> = self.clients.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            if let Some(client) = self.clients.get_mut(key).filter(|c| c.phase == Phase::Open) {
+                client.phase = Phase::Ending;
+            }
+            self.touch(key);
+        }
+    }
 }
 
 fn read_command(words: &[&[u8]], owner: (Key, u64), terms: &Terms, ready: bool) -> Command {
--- a/ingress/tests/common/mod.rs
+++ b/ingress/tests/common/mod.rs
@@ -92,6 +92,16 @@
         let _ = self.stream.shutdown(std::net::Shutdown::Write);
     }
 
+    /// Breaks the connection off with a reset.
+    pub fn reset(&mut self) {
+        rustix::net::sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO)).unwrap();
+        let gone = TcpListener::bind("127.0.0.1:0").unwrap();
+        // What stands in for it is never used: dropping the socket is what sends the reset.
+        let other = TcpStream::connect(gone.local_addr().unwrap()).unwrap();
+        drop(std::mem::replace(&mut self.stream, other));
+        self.open = false;
+    }
+
     /// Ends the connection.
     pub fn hang_up(&mut self) {
         let _ = self.stream.shutdown(std::net::Shutdown::Both);
--- /dev/null
+++ b/ingress/tests/crossings.rs
@@ -0,0 +1,655 @@
+//! Two events that cross: each test forces the bad order with scripted parties under a clock that it moves. The list
+//! of pairs is `docs/design/crossings.md`.
+
+mod common;
+
+use common::*;
+use std::time::Duration;
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// A chunk of a watch.
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// A list as discovery words it, with these entries.
+fn list(rev: u64, all: bool, targets: &[String]) -> String {
+    format!("{{\"rev\":{rev},\"all\":{all},\"targets\":[{}]}}\n", targets.join(","))
+}
+
+/// Reads of this customer.
+fn load_of(customer: u64, id: u64) -> Vec<u8> {
+    request_of(customer, "API.READ", id, LOAD)
+}
+
+/// No server is sent anything for the next half second.
+fn nothing_is_sent_on(site: &mut Site, what: &str) {
+    for _ in 0..10 {
+        site.advance(50);
+        for _ in 0..3 {
+            site.round();
+        }
+        let sent = site.servers.iter_mut().find_map(Party::command);
+        assert_eq!(sent, None, "{what}: sent on for a client that has left");
+    }
+}
+
+/// Serves one request of this client to the end.
+fn serve(site: &mut Site, client: &mut End, command: Vec<u8>) {
+    client.send(command);
+    let (s, c, _) = site.arrival();
+    site.servers[s].ends[c].send(served("v"));
+    site.expect(client, "$1\r\nv\r\n");
+}
+
+fn counter_waits(site: &Site) -> bool {
+    site.counter.party.ends.iter().any(|e| !e.input.is_empty())
+}
+
+// A client that leaves while its request waits.
+
+#[test]
+fn a_client_that_leaves_while_the_counter_is_awaited_has_nothing_sent_on_and_is_counted_once() {
+    for answered in [true, false] {
+        let mut site = Site::new(1);
+        site.counter.counting = Counting::Silent;
+        let mut client = site.client();
+        client.send(load(1));
+        site.until("the call", |s| counter_waits(s));
+        drop(client);
+        site.until("the client has gone", |s| s.program.open().2 == 0);
+        if answered {
+            site.counter.counting = Counting::Answers;
+        }
+        nothing_is_sent_on(&mut site, "counter");
+        site.counter.counting = Counting::Answers;
+        site.round();
+        assert_eq!(site.program.open(), (0, 0, 0), "what it held is released");
+        // What was added for it is taken off again with the customer's next add.
+        let mut other = site.client();
+        serve(&mut site, &mut other, load(2));
+        assert_eq!(site.counter.totals["00000000b4d65521"], 1.0, "answered: {answered}");
+    }
+}
+
+#[test]
+fn a_client_that_leaves_while_a_link_comes_up_has_nothing_written_there() {
+    let mut site = Site::new(1);
+    site.servers[0].fill_up();
+    let mut client = site.client();
+    client.send(load(1));
+    site.until("the connection is begun", |s| s.program.open().1 == 1);
+    drop(client);
+    site.until("the client has gone", |s| s.program.open().2 == 0);
+    site.servers[0].empty();
+    nothing_is_sent_on(&mut site, "link");
+    assert_eq!(site.program.open(), (0, 0, 0), "its connection goes too");
+}
+
+#[test]
+fn a_client_that_leaves_before_a_further_attempt_has_none_made() {
+    for behind_link in [false, true] {
+        let mut site = Site::new(2);
+        let mut client = site.client();
+        client.send(load(1));
+        let (s, c, _) = site.arrival();
+        if behind_link {
+            // The further attempt waits for its connection when the client leaves.
+            site.servers[1 - s].fill_up();
+            site.servers[s].ends[c].send("-BUSY\r\n");
+            site.until("the further attempt", |s| s.program.open().1 == 2);
+            drop(client);
+            site.until("the client has gone", |s| s.program.open().2 == 0);
+            site.servers[1 - s].empty();
+        } else {
+            // Its going and the server's word come in one round.
+            site.servers[s].ends[c].send("-BUSY\r\n");
+            drop(client);
+        }
+        nothing_is_sent_on(&mut site, "further attempt");
+        assert_eq!((site.program.open().0, site.program.open().2), (0, 0));
+    }
+}
+
+#[test]
+fn a_client_that_leaves_while_its_reading_is_paused_has_nothing_sent_on() {
+    let mut site = Site::new(1);
+    site.counter.counting = Counting::Silent;
+    let mut client = site.client();
+    // As many as may wait on a connection, and more behind them.
+    for id in 0..1100 {
+        client.send(load_of(1000 + id, id));
+    }
+    site.until("reading is paused", |s| s.program.open().0 == 1024);
+    for _ in 0..5 {
+        site.round();
+    }
+    drop(client);
+    for _ in 0..5 {
+        site.round();
+    }
+    // Now the totals come, and all inside their quotas.
+    site.counter.counting = Counting::Answers;
+    nothing_is_sent_on(&mut site, "reading paused");
+    assert_eq!(site.program.open(), (0, 0, 0));
+    assert_eq!(site.program.clients_hold(), (0, 0));
+}
+
+#[test]
+fn a_client_that_leaves_behind_an_earlier_request_has_neither_sent_on() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    client.send(load(1));
+    let (s, c, _) = site.arrival();
+    client.send("*1\r\n$4\r\nPING\r\n".repeat(1100));
+    client.send(load_of(7, 2));
+    for _ in 0..40 {
+        site.round();
+    }
+    assert_eq!(site.program.open().0, 1, "the second waits unread behind the first");
+    drop(client);
+    site.until("the first is called off", |site| !site.servers[s].ends[c].open);
+    nothing_is_sent_on(&mut site, "pipeline");
+    assert_eq!(site.program.open(), (0, 0, 0));
+}
+
+#[test]
+fn of_a_client_that_sends_much_and_goes_nothing_is_counted_or_sent_on() {
+    for requests in [3, 800] {
+        let mut site = Site::new(1);
+        let mut client = site.client();
+        site.until("it is taken in", |s| s.program.open().2 == 1);
+        // All of it and the end are there before the ingress wakes.
+        client.send((0..requests).flat_map(|id| load_of(1000 + id, id)).collect::<Vec<u8>>());
+        client.hang_up();
+        drop(client);
+        nothing_is_sent_on(&mut site, "much");
+        assert_eq!(site.program.open(), (0, 0, 0));
+        assert_eq!(site.counter.calls.len(), 0, "{requests}: no quota is touched");
+    }
+}
+
+// SIGTERM.
+
+/// The accepting is over: what is held is finished from here on.
+fn drain(site: &mut Site) {
+    site.program.leave();
+    site.advance(601);
+}
+
+fn ends(site: &mut Site) {
+    let mut goes_on = true;
+    site.until("the end", |s| {
+        goes_on = goes_on && s.round();
+        !goes_on
+    });
+}
+
+#[test]
+fn a_command_half_read_when_the_drain_begins_is_answered_at_once() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    let command = load(1);
+    client.send(&command[..40]);
+    site.until("a part is held", |s| s.program.clients_hold().1 == 40);
+    drain(&mut site);
+    assert!({
+        client.read();
+        client.open
+    });
+    client.send(&command[40..]);
+    // Sent on, it might find a server that hangs past SIGKILL.
+    assert_eq!(site.line(&mut client), "-BUSY\r\n");
+    site.ended(&mut client);
+    assert_eq!(site.servers[0].command(), None);
+}
+
+#[test]
+fn what_is_pipelined_behind_a_waiting_request_during_the_drain_is_answered_in_order() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    client.send(load(1));
+    let (s, c, _) = site.arrival();
+    drain(&mut site);
+    client.send(load(2));
+    for _ in 0..5 {
+        site.round();
+    }
+    client.send(load(3));
+    site.servers[s].ends[c].send(served("v"));
+    site.expect(&mut client, "$1\r\nv\r\n-BUSY\r\n-BUSY\r\n");
+    site.ended(&mut client);
+    assert_eq!(site.servers[0].command(), None);
+}
+
+#[test]
+fn a_newcomer_in_the_backlog_at_the_drain_is_heard_before_its_connection_ends() {
+    let mut site = Site::new(1);
+    site.program.leave();
+    let (mut asks, mut silent) = (site.client(), site.client());
+    // Both are still in the listener's queue.
+    site.advance(601);
+    asks.send(load(1));
+    assert_eq!(site.line(&mut asks), "-BUSY\r\n");
+    site.ended(&mut asks);
+    silent.read();
+    assert!(silent.open, "its first request may be on its way");
+    site.advance(201);
+    site.ended(&mut silent);
+    drop((asks, silent));
+    ends(&mut site);
+}
+
+#[test]
+fn newcomers_that_no_descriptor_is_left_for_are_told_so_before_the_listener_closes() {
+    let mut site = Site::with(1, 48);
+    // Every place is held by one that waits for a server.
+    let mut held = Vec::new();
+    for id in 0..60 {
+        let mut client = site.client();
+        client.send(load_of(1000 + id, id));
+        for _ in 0..3 {
+            site.advance(2);
+        }
+        held.push(client);
+    }
+    site.program.leave();
+    let mut late: Vec<End> = (0..5).map(|_| site.client()).collect();
+    site.advance(601);
+    for client in &mut late {
+        client.send(load_of(9, 900));
+        let line = site.line(client);
+        assert!(line.starts_with("-BUSY"), "{line}");
+    }
+}
+
+#[test]
+fn what_waits_at_sigterm_for_counter_link_or_further_attempt_is_served_before_the_end() {
+    for waits_for in ["counter", "link", "further attempt"] {
+        let mut site = Site::new(2);
+        let mut client = site.client();
+        match waits_for {
+            "counter" => {
+                site.counter.counting = Counting::Silent;
+                client.send(load(1));
+                site.until("the call", |s| counter_waits(s));
+                site.program.leave();
+                site.counter.counting = Counting::Answers;
+            }
+            "link" => {
+                site.servers.iter_mut().for_each(Party::fill_up);
+                client.send(load(1));
+                site.until("the connection is begun", |s| s.program.open().1 == 1);
+                site.program.leave();
+                site.round();
+                site.servers.iter_mut().for_each(Party::empty);
+            }
+            _ => {
+                client.send(load(1));
+                let (s, c, _) = site.arrival();
+                drain(&mut site);
+                site.servers[s].ends[c].send("-BUSY\r\n");
+            }
+        }
+        let (s, c, _) = site.arrival();
+        site.advance(601);
+        site.servers[s].ends[c].send(served("v"));
+        site.expect(&mut client, "$1\r\nv\r\n");
+        site.ended(&mut client);
+        drop(client);
+        ends(&mut site);
+    }
+}
+
+#[test]
+fn a_server_that_hangs_past_the_end_leaves_no_request_without_an_answer() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    // Two wait, one behind the other, longer than the process will live.
+    client.send(request("API.READ", 1, &LOAD.replace("d=3000", "d=60000")));
+    let (s, _, _) = site.arrival();
+    client.send(request_of(7, "API.READ", 2, &LOAD.replace("d=3000", "d=60000")));
+    site.arrival();
+    let mut half = site.client();
+    half.send(&load(3)[..40]);
+    site.round();
+    drain(&mut site);
+    client.read();
+    assert_eq!(client.text(), "");
+    // SIGKILL comes 3.7 s after SIGTERM at the soonest.
+    site.advance(3001);
+    site.expect(&mut client, "-ERR failed\r\n-ERR failed\r\n");
+    site.ended(&mut client);
+    let _hangs = &site.servers[s];
+    site.now += Duration::from_millis(501);
+    ends(&mut site);
+}
+
+#[test]
+fn sighup_beside_sigterm_moves_what_is_held_and_the_end_comes_all_the_same() {
+    for first in ["hup", "term"] {
+        let mut site = Site::new(1);
+        let mut client = site.client();
+        client.send(load(1));
+        let (s, c, _) = site.arrival();
+        if first == "term" {
+            drain(&mut site);
+        }
+        let _old = site.reload();
+        if first == "hup" {
+            drain(&mut site);
+        }
+        site.until("the watch at the new address", |s| s.discovery.ends.len() == 1);
+        site.servers[s].ends[c].send(served("v"));
+        site.expect(&mut client, "$1\r\nv\r\n");
+        site.ended(&mut client);
+        drop(client);
+        ends(&mut site);
+    }
+}
+
+// The watch on discovery.
+
+/// The list of two servers of which the first drains, in so many lines.
+fn indented(site: &Site, rev: u64) -> String {
+    let entry = |n: usize, state: &str| {
+        let text = target(n, site.servers[n].address, state);
+        text.replace("{", "    {\n      ").replace(",\"", ",\n      \"").replace("}", "\n    }")
+    };
+    format!(
+        "{{\n  \"rev\": {rev},\n  \"all\": true,\n  \"targets\": [\n{},\n{}\n  ]\n}}\n",
+        entry(0, "DRAINING"),
+        entry(1, "SERVING")
+    )
+}
+
+#[test]
+fn an_indented_list_is_one_list_however_its_bytes_come() {
+    let mut site = Site::new(2);
+    let text = indented(&site, 42);
+    assert!(text.lines().count() > 15);
+    for (n, line) in text.split_inclusive('\n').enumerate() {
+        // Whole lines, and lines in two parts.
+        let cut = if n % 2 == 0 { line.len() } else { line.len() / 2 };
+        for part in [&line[..cut], &line[cut..]] {
+            if !part.is_empty() {
+                site.discovery.ends.last_mut().unwrap().send(chunk(part));
+                site.round();
+            }
+        }
+    }
+    site.until("the list", |s| s.program.list_version() == 42);
+    assert_eq!(site.watches.len(), 1, "the watch goes on");
+    site.discovery.ends.last_mut().unwrap().send(chunk("\n"));
+    site.tell(43, &[(1, "SERVING")]);
+    site.until("the next", |s| s.program.list_version() == 43);
+    let mut client = site.client();
+    for id in 0..6 {
+        client.send(load_of(50 + id, id));
+        let (s, c, _) = site.arrival();
+        assert_eq!(s, 1, "the first one drains");
+        site.servers[s].ends[c].send(served("v"));
+        site.expect(&mut client, "$1\r\nv\r\n");
+    }
+}
+
+#[test]
+fn news_that_cannot_be_read_is_asked_for_again_and_passed_over_only_the_second_time() {
+    for torn in [
+        "{\"rev\":42,\"all\":fal\n\n",
+        "no list\n",
+        "{\"rev\":42,\"all\":3}\n",
+        "{\"rev\":42,\"targets\":[\"\n",
+    ] {
+        let mut site = Site::new(2);
+        site.talks = false;
+        site.discovery.ends.last_mut().unwrap().send(chunk(torn));
+        for _ in 0..5 {
+            site.round();
+        }
+        site.advance(201);
+        site.until("a second call", |s| s.watches.len() == 2);
+        assert!(site.watches[1].contains("after=41 "), "{}", site.watches[1]);
+        assert_eq!(site.program.list_version(), 41);
+        let news = list(43, false, &[target(0, site.servers[0].address, "DRAINING")]);
+        // What can never be read must not keep the rest from being heard.
+        site.discovery.ends.last_mut().unwrap().send(format!("{HEAD}{}{}", chunk(torn), chunk(&news)));
+        site.until("the news behind it", |s| s.program.list_version() == 43);
+        assert_eq!(site.watches.len(), 2);
+    }
+}
+
+#[test]
+fn a_watch_cut_within_a_line_leaves_the_list_held_and_nothing_of_the_line_behind() {
+    let mut site = Site::new(2);
+    site.talks = false;
+    let news = list(42, false, &[target(0, site.servers[0].address, "DRAINING")]);
+    let end = site.discovery.ends.last_mut().unwrap();
+    end.send(chunk(&news[..news.len() / 2]));
+    site.round();
+    site.discovery.ends.last_mut().unwrap().hang_up();
+    for _ in 0..5 {
+        site.round();
+    }
+    site.advance(201);
+    site.until("a second call", |s| s.watches.len() == 2);
+    assert_eq!(site.program.list_version(), 41);
+    site.discovery.ends.last_mut().unwrap().send(format!("{HEAD}{}", chunk(&news)));
+    site.until("the news", |s| s.program.list_version() == 42);
+}
+
+#[test]
+fn news_right_before_a_reset_is_taken_in() {
+    let mut site = Site::new(2);
+    site.talks = false;
+    site.tell(42, &[(0, "DRAINING")]);
+    site.discovery.ends.last_mut().unwrap().reset();
+    site.until("the news", |s| s.program.list_version() == 42);
+}
+
+#[test]
+fn news_that_crosses_a_move_of_discovery_is_taken_in() {
+    let mut site = Site::new(2);
+    site.talks = false;
+    // Written to the ingress, but not read when SIGHUP is served; the new place says nothing for a while.
+    site.tell(42, &[(0, "DRAINING")]);
+    site.reload();
+    for _ in 0..5 {
+        site.round();
+    }
+    assert_eq!(site.program.list_version(), 42);
+    site.until("a call from there on", |s| s.watches.iter().any(|w| w.contains("after=42 ")));
+}
+
+#[test]
+fn a_discovery_that_answers_slowly_is_heard_before_its_news_must_have_been_acted_on() {
+    let mut site = Site::new(2);
+    site.talks = false;
+    let told = site.now;
+    let news = list(42, false, &[target(0, site.servers[0].address, "DRAINING")]);
+    let mut calls: Vec<Duration> = site.watches.iter().map(|_| told).collect();
+    while site.program.list_version() == 41 {
+        site.advance(50);
+        site.round();
+        while calls.len() < site.watches.len() {
+            calls.push(site.now);
+        }
+        // Each call is answered 1.2 s after it was made; the first watch has fallen silent.
+        let last = *calls.last().unwrap();
+        if calls.len() > 1 && site.now >= last + Duration::from_millis(1200) {
+            site.discovery.ends.last_mut().unwrap().send(format!("{HEAD}{}", chunk(&news)));
+            for _ in 0..5 {
+                site.round();
+            }
+        }
+        assert!(site.now < told + Duration::from_millis(7000), "never heard: {} calls", calls.len());
+    }
+}
+
+#[test]
+fn an_older_list_neither_brings_back_what_drains_nor_loses_what_is_newer() {
+    for restarted in [false, true] {
+        let mut site = Site::new(3);
+        let entries = |site: &Site, states: [&str; 3]| -> Vec<String> {
+            let all = states.iter().enumerate().filter(|(_, s)| !s.is_empty());
+            all.map(|(n, s)| target(n, site.servers[n].address, s)).collect()
+        };
+        // Here the third has come, the first drains and the second is as it was.
+        let now = list(44, true, &entries(&site, ["DRAINING", "SERVING", "SERVING"]));
+        site.discovery.ends.last_mut().unwrap().send(chunk(&now));
+        site.until("the list", |s| s.program.list_version() == 44);
+        // An agent that is behind tells what was before.
+        let rev = if restarted { 0 } else { 42 };
+        let states = if restarted { ["", "", ""] } else { ["SERVING", "SERVING", ""] };
+        let older = list(rev, true, &entries(&site, states));
+        site.discovery.ends.last_mut().unwrap().send(chunk(&older));
+        site.until("the older list", |s| s.program.list_version() == rev);
+        let mut seen = [0; 3];
+        let mut client = site.client();
+        for id in 0..20 {
+            // Two at a time: the second goes where the first is not.
+            client.send([load_of(50 + id, id), load_of(150 + id, 100 + id)].concat());
+            let out = [site.arrival(), site.arrival()];
+            for (s, c, _) in out {
+                seen[s] += 1;
+                site.servers[s].ends[c].send(served("v"));
+            }
+            site.expect(&mut client, &"$1\r\nv\r\n".repeat(2));
+            site.advance(21);
+        }
+        assert_eq!(seen[0], 0, "what was told to drain drains: {seen:?}");
+        assert!(seen[1] > 0 && seen[2] > 0, "the last good list holds: {seen:?}");
+        // Word of a later version counts again.
+        let later = list(45, true, &entries(&site, ["SERVING", "", ""]));
+        site.discovery.ends.last_mut().unwrap().send(chunk(&later));
+        site.until("the later list", |s| s.program.list_version() == 45);
+        client.send(load_of(99, 99));
+        assert_eq!(site.arrival().0, 0);
+    }
+}
+
+#[test]
+fn a_new_process_sends_nothing_by_its_old_list_before_discovery_has_spoken() {
+    let mut site = Site::new(2);
+    site.talks = false;
+    let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
+    site.start_by(text);
+    let mut client = site.client();
+    client.send(load(1));
+    assert!(site.line(&mut client).starts_with("-BUSY"), "the list of the configuration may be old");
+    // Discovery's word and the next request are there in one round.
+    let news = list(42, false, &[target(0, site.servers[0].address, "DRAINING")]);
+    site.discovery.ends.last_mut().unwrap().send(format!("{HEAD}{}", chunk(&news)));
+    client.send(load(2));
+    let (s, c, _) = site.arrival();
+    assert_eq!(s, 1, "the other has been told to drain since before the start");
+    site.servers[s].ends[c].send(served("v"));
+    site.expect(&mut client, "$1\r\nv\r\n");
+}
+
+#[test]
+fn a_new_process_whose_discovery_is_silent_serves_by_its_list_after_its_time() {
+    let mut site = Site::new(1);
+    site.talks = false;
+    let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
+    site.start_by(text);
+    site.advance(1001);
+    let mut client = site.client();
+    serve(&mut site, &mut client, load(1));
+}
+
+#[test]
+fn a_drain_and_a_request_in_one_round_are_taken_in_that_order() {
+    for _ in 0..5 {
+        let mut site = Site::new(2);
+        let mut client = site.client();
+        serve(&mut site, &mut client, load_of(5, 1));
+        site.advance(30);
+        // The requests are there first; the drain has been told all the same when they are decided.
+        for id in 2..4 {
+            client.send(load_of(5 + id, id));
+        }
+        site.tell(42, &[(0, "DRAINING")]);
+        site.round();
+        for _ in 2..4 {
+            let (s, c, _) = site.arrival();
+            assert_eq!(s, 1);
+            site.servers[s].ends[c].send(served("v"));
+        }
+        site.expect(&mut client, &"$1\r\nv\r\n".repeat(2));
+    }
+}
+
+// Connections to servers.
+
+#[test]
+fn an_endless_answer_is_bounded_in_time_and_reaches_no_other_request() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    client.send(request("API.WRITE", 1, SUBMIT));
+    let (s, c, _) = site.arrival();
+    site.servers[s].ends[c].send("*3\r\n$60000\r\n");
+    let begun = site.now;
+    while site.program.open().0 > 0 {
+        site.servers[s].ends[c].send("x");
+        site.advance(100);
+        assert!(site.now <= begun + Duration::from_millis(1100), "it dribbles on and on");
+    }
+    site.expect(&mut client, "-ERR failed\r\n");
+    site.until("its connection goes", |site| {
+        site.servers[s].ends[c].read();
+        !site.servers[s].ends[c].open
+    });
+    serve(&mut site, &mut client, load(2));
+}
+
+#[test]
+fn a_request_that_is_there_when_its_idle_connection_is_due_is_served() {
+    let mut site = Site::new(1);
+    let mut client = site.client();
+    serve(&mut site, &mut client, load(1));
+    serve(&mut site, &mut client, load_of(7, 2));
+    client.send(load_of(8, 3));
+    site.now += Duration::from_millis(6001);
+    let (s, c, _) = site.arrival();
+    site.servers[s].ends[c].send(served("w"));
+    site.expect(&mut client, "$1\r\nw\r\n");
+}
+
+#[test]
+fn what_must_never_run_twice_goes_on_only_where_it_surely_never_ran() {
+    // Read or write, under any name: the settings alone say so.
+    for (name, end, again) in [
+        ("kart-les", "-BUSY\r\n", true),
+        ("kart-les", "-ERR failed\r\n", false),
+        ("form-load", "-BUSY inflight=1\r\n", true),
+        ("form-load", "*3\r\n$1\r\nv", false),
+        ("form-load", "", false),
+        ("a", "-BUSYBODY\r\n", false),
+    ] {
+        let mut site = Site::new(3);
+        let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
+        let text = text.replacen("\"read_like\"", "\"non_idempotent\"", 1);
+        site.start_by(text.replace("\"form-load\"", &format!("{name:?}")));
+        let mut client = site.client();
+        client.send(request("API.WRITE", 1, &LOAD.replace("form-load", name)));
+        let (s, c, _) = site.arrival();
+        site.servers[s].ends[c].send(end);
+        if end.is_empty() || !end.ends_with('\n') {
+            site.servers[s].ends[c].hang_up();
+        }
+        if again {
+            let (other, c, words) = site.arrival();
+            assert!(other != s && words[2].ends_with('1'));
+            site.servers[other].ends[c].send(served("v"));
+            site.expect(&mut client, "$1\r\nv\r\n");
+        } else {
+            site.expect(&mut client, "-ERR failed\r\n");
+        }
+        for _ in 0..10 {
+            site.advance(100);
+            assert_eq!(site.servers.iter_mut().find_map(Party::command), None, "{name} {end:?}");
+        }
+    }
+}
