Hold a repeat's window at the write, hear slow discovery, start without what only keyed classes have

Seen by reading; tests in ingress/tests/crossings.rs and settings/tests/fields.rs, each seen to fail without the mend: - a keyed request's further attempt was decided within the window of its key and written after it, when its connection came up late (engine.rs, may_write knew no window).

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -137,22 +137,24 @@
     owner: Option<O>,
     command: C,
     bytes: usize,
-    /// Does its class bear being sent twice?
-    repeatable: bool,
+    /// What its class's requests do when they run twice.
+    effect: Effect,
     out: Option<Out>,
     /// The driver's own name for what carries the attempt.
     carrier: Option<Key>,
     attempts: u16,
     /// Some attempt may have run.
     may_have_run: bool,
+    /// From then on no further attempt may be written: what may have run would run twice.
+    until: Option<Duration>,
     finished: bool,
 }
 
 /// Requests, attempts and servers around the module.
 pub struct Engine<O, C, V> {
     gateway: Gateway,
-    /// Of each class: may its requests be sent twice?
-    repeatable: Vec<bool>,
+    /// What each class's requests do when they run twice.
+    effects: Vec<Effect>,
     events: VecDeque<Event>,
     outputs: VecDeque<Output<O, V>>,
     actions: Vec<Action>,
@@ -169,9 +171,9 @@
     pub fn new(mut settings: Settings, seed: u64, bounds: Bounds) -> Result<Engine<O, C, V>, SettingsError> {
         // One outstanding attempt a request, whatever the platform would allow.
         settings.limits.duplicates = false;
-        let repeatable = settings.classes.iter().map(|c| c.effect == Effect::Safe).collect();
+        let effects = settings.classes.iter().map(|c| c.effect).collect();
         Ok(Engine {
-            repeatable,
+            effects,
             gateway: Gateway::new(settings, seed)?,
             events: VecDeque::new(),
             outputs: VecDeque::new(),
@@ -207,7 +209,7 @@
 
     /// May a request be sent twice, whatever became of it the first time?
     pub fn repeatable(&self, request: Key) -> bool {
-        self.requests.get(request).is_some_and(|r| r.repeatable)
+        self.requests.get(request).is_some_and(|r| r.effect == Effect::Safe)
     }
 
     /// When [`Engine::on_due`] wants to be called next.
@@ -231,11 +233,12 @@
             owner: Some(ask.owner),
             command: ask.command,
             bytes: ask.bytes,
-            repeatable: self.repeatable.get(ask.class).is_some_and(|r| *r),
+            effect: self.effects.get(ask.class).copied().unwrap_or(Effect::Unsafe),
             out: None,
             carrier: None,
             attempts: 0,
             may_have_run: false,
+            until: None,
             finished: false,
         });
         self.events.push_back(Event::Request(NewRequest {
@@ -260,10 +263,12 @@
     }
 
     /// May the first byte of this attempt be written to its server now? Guards against sends to a server that
-    /// drains or is gone, for a request that is over, and too late, also after a wait for a connection.
+    /// drains or is gone, for a request that is over, too late, and where an earlier attempt may have run and its
+    /// repeat would no longer be dropped; also after a wait for a connection.
     pub fn may_write(&self, request: Key, attempt: u16, give_up: Duration, now: Duration) -> bool {
         let Some(held) = self.requests.get(request).filter(|r| !r.finished) else { return false };
-        held.out.is_some_and(|o| o.attempt == attempt && self.takes_work(o.server)) && now < give_up
+        let end = held.until.map_or(give_up, |until| until.min(give_up));
+        held.out.is_some_and(|o| o.attempt == attempt && self.takes_work(o.server)) && now < end
     }
 
     /// Does this server take new work?
@@ -289,7 +294,15 @@
         let Some(held) = self.requests.get_mut(request) else { return };
         let Some(out) = held.out.take_if(|out| out.attempt == attempt) else { return };
         held.carrier = None;
-        held.may_have_run |= !matches!(end.outcome, Outcome::ConnectFailed | Outcome::Full | Outcome::Moot);
+        if !matches!(end.outcome, Outcome::ConnectFailed | Outcome::Full | Outcome::Moot) {
+            held.may_have_run = true;
+            let until = match held.effect {
+                Effect::Safe => None,
+                Effect::Keyed { window, .. } => Some(out.begun + window),
+                Effect::Unsafe => Some(Duration::ZERO),
+            };
+            held.until = held.until.or(until);
+        }
         let served = end.value.filter(|_| end.outcome == Outcome::Ok && !held.finished);
         // A value that nobody can be given is an end like any other.
         let finished = held.finished || served.is_some();
--- a/ingress/src/routing/attempts.rs
+++ b/ingress/src/routing/attempts.rs
@@ -350,6 +350,10 @@
             // An answer that nobody asked for: what follows could not be told apart.
             return self.close_link(key, io);
         };
+        if link.stream.unwritten() > 0 {
+            // Guards against what is no answer to this request: a server begins one when its last byte has come.
+            return self.break_link(key, Outcome::ConnectFailed, io);
+        }
         let (value, used) = match resp::value(link.stream.input(), &io.limits) {
             Ok(None) => {
                 // Guards against an answer that is shorter than it says, or has no end.
@@ -393,7 +397,7 @@
         let server = link.server;
         self.rests.told(link.rest, false, io.now);
         // Whole and alone, or the connection is of no further use.
-        let clean = !spoilt && link.stream.input().is_empty() && link.stream.unwritten() == 0;
+        let clean = !spoilt && link.stream.input().is_empty();
         if clean {
             self.rest(key, io);
         } else {
--- a/ingress/src/routing/discovery.rs
+++ b/ingress/src/routing/discovery.rs
@@ -9,20 +9,27 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// The watch's connection.
-pub(super) struct Watch {
-    address: SocketAddr,
-    stream: Option<Stream>,
+/// One call: an answer that stays open.
+struct Call {
+    stream: Stream,
     /// Counts the connections: news of one that is gone must not reach its successor.
     serial: u32,
     up: bool,
     streaming: bool,
     lists: Lists,
+}
+
+/// The watch.
+pub(super) struct Watch {
+    address: SocketAddr,
+    call: Option<Call>,
+    /// The call before, where it has said nothing yet. Guards against a discovery that answers a little later than a
+    /// call is waited for: each would be given up a moment before.
+    elder: Option<Call>,
+    serial: u32,
     due: Option<Duration>,
     /// Calls in a row that brought no line.
     failed: u32,
-    /// Calls in a row that were given up for their silence.
-    unheard: u32,
     /// The last call ended for what could not be read; the next such thing is passed over.
     garbled: bool,
     rng: fastrand::Rng,
@@ -33,14 +40,11 @@
     pub fn new(address: SocketAddr, seed: u64) -> Watch {
         Watch {
             address,
-            stream: None,
+            call: None,
+            elder: None,
             serial: 0,
-            up: false,
-            streaming: false,
-            lists: Lists::default(),
             due: None,
             failed: 0,
-            unheard: 0,
             garbled: false,
             rng: fastrand::Rng::with_seed(seed),
             told: false,
@@ -55,13 +59,7 @@
     /// Discovery is at another address now.
     pub fn move_to(&mut self, address: SocketAddr) {
         self.address = address;
-        (self.failed, self.unheard, self.garbled) = (0, 0, false);
-    }
-
-    /// How long a new call may take to its first line: guards against one that is given up again and again a
-    /// moment before a slow discovery answers.
-    fn first_wait(&self, limits: &Limits) -> Duration {
-        (limits.list_first * self.unheard.max(1)).min(limits.list_silence)
+        (self.failed, self.garbled, self.elder) = (0, false, None);
     }
 
     /// How long to wait before the next call: guards against many ingresses that keep an overbooked discovery
@@ -71,11 +69,13 @@
         self.failed += 1;
         longest.mul_f64(1.0 - self.rng.f64() / 2.0)
     }
+}
 
-    /// Reads on; whole lines go to `lines`. An error says why the watch is of no more use.
+impl Call {
+    /// Reads on; whole lines go to `lines`. An error says why the call is of no more use.
     fn read(&mut self, ready: Ready, io: &Io, lines: &mut Vec<Vec<u8>>) -> Result<(), &'static str> {
         let limits = &io.limits;
-        let Some(stream) = &mut self.stream else { return Ok(()) };
+        let stream = &mut self.stream;
         if !self.up {
             if !ready.writable {
                 return Ok(());
@@ -123,33 +123,38 @@
     /// Opens the watch after the version held.
     pub(super) fn watch_open(&mut self, io: &mut Io) {
         let watch = &mut self.watch;
-        (watch.up, watch.streaming) = (false, false);
-        watch.lists = Lists::default();
-        watch.stream = None;
         watch.serial = watch.serial.wrapping_add(1);
-        let opened = connect(&watch.address, io.limits.chunk_bytes).and_then(|s| {
-            io.poller.add(s.fd(), Party::Watch(watch.serial).token())?;
-            Ok(s)
-        });
-        watch.stream = opened.ok();
-        let wait =
-            if watch.stream.is_some() { watch.first_wait(&io.limits) } else { watch.back_off(&io.limits) };
-        if let Some(stream) = &mut watch.stream {
+        let serial = watch.serial;
+        let opened = connect(&watch.address, io.limits.chunk_bytes).and_then(|mut stream| {
+            io.poller.add(stream.fd(), Party::Watch(serial).token())?;
             http::put_watch(stream.output(), &watch.address.to_string(), self.life.fleet().rev);
-        }
+            Ok(Call { stream, serial, up: false, streaming: false, lists: Lists::default() })
+        });
+        watch.call = opened.ok();
+        let wait = if watch.call.is_some() { io.limits.list_first } else { watch.back_off(&io.limits) };
         io.deadlines.set(&mut watch.due, Some(io.now + wait), Party::Watch(0));
     }
 
     /// The watch is ready.
     pub fn on_watch(&mut self, serial: u32, ready: Ready, io: &mut Io) {
-        if serial != self.watch.serial {
-            return;
-        }
         let mut lines = Vec::new();
-        let mut state = self.watch.read(ready, io, &mut lines);
+        let elder = self.watch.elder.as_ref().is_some_and(|c| c.serial == serial);
+        let call = if elder { &mut self.watch.elder } else { &mut self.watch.call };
+        let Some(open) = call.as_mut().filter(|c| c.serial == serial) else { return };
+        let mut state = open.read(ready, io, &mut lines);
+        if elder {
+            if lines.is_empty() {
+                // Its end says nothing of the call that is out.
+                self.watch.elder = self.watch.elder.take().filter(|_| state.is_ok());
+                return;
+            }
+            self.watch.call = self.watch.elder.take();
+        } else if !lines.is_empty() {
+            self.watch.elder = None;
+        }
         for mut line in lines {
             io.deadlines.set(&mut self.watch.due, Some(io.now + io.limits.list_silence), Party::Watch(0));
-            (self.watch.failed, self.watch.unheard) = (0, 0);
+            self.watch.failed = 0;
             if line.trim_ascii().is_empty() {
                 self.watch.told = true;
                 continue;
@@ -173,7 +178,7 @@
         }
         if let Err(why) = state {
             tracing::warn!(event = "discovery.broke", why, "discovery: {why}; calling again");
-            self.watch.stream = None;
+            self.watch.call = None;
             let again = io.now + self.watch.back_off(&io.limits);
             io.deadlines.set(&mut self.watch.due, Some(again), Party::Watch(0));
         }
@@ -182,14 +187,17 @@
     /// Reads what has come on the watch before it is left.
     pub(super) fn watch_read(&mut self, io: &mut Io) {
         let ready = Ready { token: 0, readable: true, writable: false, ended: true };
-        self.on_watch(self.watch.serial, ready, io);
+        for serial in [self.watch.elder.as_ref(), self.watch.call.as_ref()].map(|c| c.map(|c| c.serial)) {
+            serial.into_iter().for_each(|serial| self.on_watch(serial, ready, io));
+        }
     }
 
     /// Nothing came for too long, or it is time to call again.
     pub fn on_watch_due(&mut self, io: &mut Io) {
         self.watch.due = None;
-        if self.watch.stream.take().is_some() {
-            self.watch.unheard += 1;
+        if let Some(call) = self.watch.call.take() {
+            // One that has spoken and fallen silent is broken; one that has yet to speak may be late.
+            self.watch.elder = Some(call).filter(|c| !c.streaming);
             let rev = self.life.fleet().rev;
             tracing::warn!(
                 event = "discovery.silent",
--- a/ingress/tests/common/mod.rs
+++ b/ingress/tests/common/mod.rs
@@ -162,10 +162,15 @@
 
     /// Accepts what waits and reads everything.
     pub fn read(&mut self) {
+        self.accept();
+        self.ends.iter_mut().for_each(End::read);
+    }
+
+    /// Accepts what waits.
+    pub fn accept(&mut self) {
         while let Some((stream, _)) = self.accepting().and_then(|l| l.accept().ok()) {
             self.ends.push(End::new(stream));
         }
-        self.ends.iter_mut().for_each(End::read);
     }
 
     /// The process is gone: connections are reset and refused.
--- a/ingress/tests/crossings.rs
+++ b/ingress/tests/crossings.rs
@@ -468,23 +468,29 @@
     site.talks = false;
     let told = site.now;
     let news = list(42, false, &[target(0, site.servers[0].address, "DRAINING")]);
-    let mut calls: Vec<Duration> = site.watches.iter().map(|_| told).collect();
+    // Each call is answered 1.2 s after it was made; the first watch has fallen silent.
+    let mut calls = vec![None];
     while site.program.list_version() == 41 {
         site.advance(50);
         site.round();
-        while calls.len() < site.watches.len() {
-            calls.push(site.now);
-        }
-        // Each call is answered 1.2 s after it was made; the first watch has fallen silent.
-        let last = *calls.last().unwrap();
-        if calls.len() > 1 && site.now >= last + Duration::from_millis(1200) {
-            site.discovery.ends.last_mut().unwrap().send(format!("{HEAD}{}", chunk(&news)));
-            for _ in 0..5 {
-                site.round();
+        calls.resize(site.discovery.ends.len(), Some(site.now + Duration::from_millis(1200)));
+        for (n, at) in calls.iter_mut().enumerate() {
+            if at.is_some_and(|at| at <= site.now) {
+                site.discovery.ends[n].send(format!("{HEAD}{}", chunk(&news)));
+                *at = None;
             }
         }
-        assert!(site.now < told + Duration::from_millis(7000), "never heard: {} calls", calls.len());
+        for _ in 0..5 {
+            site.round();
+        }
+        assert!(site.now < told + Duration::from_millis(6000), "never heard: {} calls", calls.len());
     }
+    // It is the watch from here on; the call that followed is given up.
+    let open: Vec<usize> = (0..calls.len()).filter(|n| site.discovery.ends[*n].open).collect();
+    assert_eq!(open.len(), 1, "{open:?} of {}", calls.len());
+    let later = list(43, false, &[target(0, site.servers[0].address, "SERVING")]);
+    site.discovery.ends[open[0]].send(chunk(&later));
+    site.until("what follows", |s| s.program.list_version() == 43);
 }
 
 #[test]
@@ -653,3 +659,31 @@
         }
     }
 }
+
+#[test]
+fn a_keyed_request_is_not_written_again_once_its_repeat_would_no_longer_be_dropped() {
+    for late in [false, true] {
+        let mut site = Site::new(2);
+        let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
+        let text = text.replace("\"Group\":\"cell\"", "\"Group\":\"all\"");
+        site.start_by(text.replace("\"WindowMs\":8000.0", "\"WindowMs\":300.0"));
+        site.round();
+        let mut client = site.client();
+        client.send(request("API.WRITE", 1, SUBMIT));
+        let (s, c, _) = site.arrival();
+        site.servers[1 - s].fill_up();
+        site.advance(250);
+        // It may have run: the further attempt is decided within the window, and its connection comes up later.
+        site.servers[s].ends[c].send("-ERR failed\r\n");
+        site.until("the further attempt", |s| s.program.open().1 == 2);
+        site.now += Duration::from_millis(if late { 60 } else { 20 });
+        site.servers[1 - s].empty();
+        if late {
+            let line = site.line(&mut client);
+            assert!(line.starts_with("-BUSY") || line.starts_with("-ERR failed"), "{line}");
+            nothing_is_sent_on(&mut site, "window");
+        } else {
+            assert_eq!(site.arrival().0, 1 - s);
+        }
+    }
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -51,13 +51,17 @@
     aim_stretch: f64,
     deadline_ms: f64,
     effect: String,
-    group: String,
+    /// Of keyed classes alone.
+    #[serde(default)]
+    group: Option<String>,
     late_worth: f64,
     #[serde(default)]
     name: String,
     stream: bool,
     target_ms: f64,
-    window_ms: f64,
+    /// Of keyed classes alone.
+    #[serde(default)]
+    window_ms: Option<f64>,
     worth: f64,
 }
 
@@ -128,17 +132,23 @@
 }
 
 fn class(c: &WireClass) -> Result<Class, String> {
-    let group = match c.group.as_str() {
-        "all" => DedupGroup::All,
-        "zone" => DedupGroup::Zone,
-        "cell" => DedupGroup::Cell,
-        other => return Err(format!("Classes[].Group: unknown value '{other}'")),
+    let group = || match c.group.as_deref().unwrap_or_default() {
+        "all" => Ok(DedupGroup::All),
+        "zone" => Ok(DedupGroup::Zone),
+        "cell" => Ok(DedupGroup::Cell),
+        other => Err(format!("Classes[].Group: unknown value '{other}', expected 'all', 'zone' or 'cell'")),
     };
     let effect = match c.effect.as_str() {
         "read_like" => Effect::Safe,
-        "idempotency_key" => Effect::Keyed { group, window: required("Classes[].WindowMs", c.window_ms)? },
+        "idempotency_key" => Effect::Keyed {
+            group: group()?,
+            window: required("Classes[].WindowMs", c.window_ms.unwrap_or_default())?,
+        },
         "non_idempotent" => Effect::Unsafe,
-        other => return Err(format!("Classes[].Effect: unknown value '{other}'")),
+        other => {
+            let known = "'read_like', 'idempotency_key' or 'non_idempotent'";
+            return Err(format!("Classes[].Effect: unknown value '{other}', expected {known}"));
+        }
     };
     Ok(Class {
         aim: required("Classes[].TargetMs", c.target_ms)?,
--- a/settings/tests/fields.rs
+++ b/settings/tests/fields.rs
@@ -85,3 +85,28 @@
         }
     }
 }
+
+#[test]
+fn what_only_keyed_classes_have_may_be_absent_null_or_empty_for_the_others_and_is_named_for_them() {
+    for effect in ["read_like", "non_idempotent", "idempotency_key"] {
+        for (group, window) in
+            [(json!("all"), json!(null)), (json!(null), json!(0)), (json!(""), json!(500.0))]
+        {
+            let mut settings = whole();
+            let class = settings.pointer_mut("/Classes/0").unwrap().as_object_mut().unwrap();
+            class.insert("Effect".into(), json!(effect));
+            class.insert("Group".into(), group);
+            class.insert("WindowMs".into(), window);
+            match start(&settings) {
+                Ok(_) => assert_ne!(effect, "idempotency_key"),
+                Err(wrong) => {
+                    assert_eq!(effect, "idempotency_key", "{wrong}");
+                    assert!(
+                        wrong.contains("Classes[].Group") || wrong.contains("Classes[].WindowMs"),
+                        "{wrong}"
+                    );
+                }
+            }
+        }
+    }
+}
