--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -88,6 +88,10 @@
     pub list_again: Duration,
     /// ... twice as long after each call that failed again, up to this, less up to half of it at random.
     pub list_again_most: Duration,
+    /// An address that another process still listens on is waited for so long, ...
+    pub address: Duration,
+    /// ... and tried again after this.
+    pub address_again: Duration,
     /// `PING` is answered by then even if discovery says nothing.
     pub ready: Duration,
     /// Accepting is tried again after this when descriptors ran out.
@@ -160,6 +164,8 @@
             list_again,
             // All ingresses together call some forty times a second, where there is time for that.
             list_again_most: ms(30 * u64::from(options.ingresses())).clamp(list_again, told.min(ms(3000))),
+            address: ms(3000),
+            address_again: ms(20),
             ready: ms(1000),
             accept_again: ms(20),
             client_stall: ms(10_000),
--- a/ingress/src/program/mod.rs
+++ b/ingress/src/program/mod.rs
@@ -16,13 +16,15 @@
 use config::Config;
 use roseyard_admission::Budget;
 use roseyard_operator::{Effective, File, Machine};
+use rustix::fd::OwnedFd;
+use rustix::io::Errno;
 use standing::Keeper;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The signals that the program answers to, from its first moment on: what comes before the loop waits in the
 /// pipe. Guards against a SIGHUP that finds no handler, which would end the process.
@@ -110,6 +112,23 @@
     }
 }
 
+/// Listens there. Guards against a start that fails because the process before it has not let go of the address yet.
+fn take_address(at: &SocketAddr, limits: &Limits) -> Result<OwnedFd, String> {
+    let since = Instant::now();
+    let mut told = false;
+    loop {
+        match listen(at, limits.backlog) {
+            Err(Errno::ADDRINUSE) if since.elapsed() < limits.address => {
+                if !std::mem::replace(&mut told, true) {
+                    tracing::warn!(event = "address", %at, "{at} is in use; waiting for it");
+                }
+                std::thread::sleep(limits.address_again);
+            }
+            done => return done.map_err(|e| format!("listen on {at}: {e}")),
+        }
+    }
+}
+
 fn machine(config: &Config) -> Machine {
     Machine { sockets: config.limits.sockets, allowed: allowed() }
 }
@@ -126,8 +145,7 @@
             Budget::new(operator.sockets, operator.shares).map_err(|e| format!("descriptors: {e}"))?;
         let mut io =
             Io { poller, deadlines: Deadlines::default(), now: clock.now(), budget, spare: spare(), limits };
-        let listener = listen(&config.listen, limits.backlog)
-            .map_err(|e| format!("listen on {}: {e}", config.listen))?;
+        let listener = take_address(&config.listen, &limits)?;
         let settings = options.settings()?;
         let terms = Terms::new(options, &settings, &limits);
         let Effective { policy, standing, membership, .. } = operator;
--- a/ingress/tests/process.rs
+++ b/ingress/tests/process.rs
@@ -24,7 +24,17 @@
         Running::start_with(name, text, command)
     }
 
-    fn start_with(name: &str, text: &str, mut command: Command) -> Running {
+    fn start_with(name: &str, text: &str, command: Command) -> Running {
+        Running::start_when(name, text, command, |_| ())
+    }
+
+    /// Listens only after something has been done.
+    fn start_when(
+        name: &str,
+        text: &str,
+        mut command: Command,
+        first: impl FnOnce(&mut BufReader<std::process::ChildStderr>),
+    ) -> Running {
         let config = std::env::temp_dir().join(format!("roseyard-{}-{name}.json", std::process::id()));
         std::fs::write(&config, text).unwrap();
         let mut child = command
@@ -35,6 +45,7 @@
             .spawn()
             .unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
+        first(&mut log);
         let line = line_with(&mut log, "listening on ");
         let address = line.rsplit(' ').next().unwrap().trim().parse().unwrap();
         Running { child, log, address, config }
@@ -173,6 +184,24 @@
     assert_eq!(running.terminate().code(), Some(0));
 }
 
+#[test]
+fn a_start_beside_a_process_that_still_listens_waits_for_its_address() {
+    let (counter, discovery) = (Party::new(), Party::new());
+    let before = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = before.local_addr().unwrap();
+    let text = config(&counter, &discovery, &[], 1024);
+    let text = text.replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{address}\""));
+    let mut before = Some(before);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_roseyard"));
+    command.env_remove("LB_DISCOVERY");
+    let mut running = Running::start_when("address", &text, command, |log| {
+        line_with(log, "is in use; waiting for it");
+        before = None;
+    });
+    assert_eq!(running.address, address);
+    assert_eq!(running.terminate().code(), Some(0));
+}
+
 #[test]
 fn what_is_wrong_with_a_configuration_is_said() {
     for (name, text) in [("empty", "{}"), ("no-json", "listen here")] {
