Give back the units of a request whose client left before it reached a server

Seen: a client that left while its link came up left its unit on the count, and its next request counted a second one, where nothing had reached a server (test in ingress/tests/crossings.rs: total 2, should be 1; seen to fail without the mend). The engine knows that no further attempt follows and that none has arrived (engine.rs, ended): it tells true units of 0, and the module's own way of settling takes the unit off the customer's next add. No line of the module has changed.

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -143,7 +143,8 @@
     /// The driver's own name for what carries the attempt.
     carrier: Option<Key>,
     attempts: u16,
-    /// Some attempt may have run.
+    /// Some attempt has reached a server, and some may have run.
+    arrived: bool,
     may_have_run: bool,
     /// From then on no further attempt may be written: what may have run would run twice.
     until: Option<Duration>,
@@ -237,6 +238,7 @@
             out: None,
             carrier: None,
             attempts: 0,
+            arrived: false,
             may_have_run: false,
             until: None,
             finished: false,
@@ -303,6 +305,11 @@
             };
             held.until = held.until.or(until);
         }
+        held.arrived |= !matches!(end.outcome, Outcome::ConnectFailed | Outcome::Moot);
+        // Guards against a quota that is counted twice for a client that has left and comes again: what has never
+        // reached a server has taken nothing.
+        let unsent = held.finished && !held.arrived;
+        let true_units = if unsent { Some(0.0) } else { end.true_units };
         let served = end.value.filter(|_| end.outcome == Outcome::Ok && !held.finished);
         // A value that nobody can be given is an end like any other.
         let finished = held.finished || served.is_some();
@@ -313,7 +320,7 @@
             outcome: end.outcome,
             elapsed: now.saturating_sub(out.begun),
             finished,
-            true_units: end.true_units,
+            true_units,
             load: end.load,
         }));
         if let Some(value) = served {
--- a/ingress/tests/crossings.rs
+++ b/ingress/tests/crossings.rs
@@ -85,6 +85,10 @@
     site.servers[0].empty();
     nothing_is_sent_on(&mut site, "link");
     assert_eq!(site.program.open(), (0, 0, 0), "its connection goes too");
+    // Nothing has reached a server: the customer's next request is the first that counts.
+    let mut other = site.client();
+    serve(&mut site, &mut other, load(2));
+    assert_eq!(site.counter.totals["00000000b4d65521"], 1.0);
 }
 
 #[test]
@@ -109,6 +113,9 @@
         }
         nothing_is_sent_on(&mut site, "further attempt");
         assert_eq!((site.program.open().0, site.program.open().2), (0, 0));
+        let mut other = site.client();
+        serve(&mut site, &mut other, load(2));
+        assert_eq!(site.counter.totals["00000000b4d65521"], 2.0, "the first attempt has reached a server");
     }
 }
 
