Wait for PING's answer in the test of descriptors before its requests are sent

The test sent its requests on the line 'listening', and since what is asked before discovery has spoken is refused: whether its watch was answered first was chance. With the requests forced ahead of discovery's answer it failed each time; now it waits as the front does. No assertion is changed.

--- a/ingress/tests/admission.rs
+++ b/ingress/tests/admission.rs
@@ -307,6 +307,17 @@
         let to = line.trim().rsplit(' ').next().unwrap().parse().unwrap();
         let pid = Pid::from_child(&running.0);
         let mut clients: Vec<End> = (0..6).map(|_| End::connect(to)).collect();
+        // As the front does: what is asked before discovery has spoken is refused.
+        clients[0].send(PING);
+        around.until("ready", |_| {
+            clients[0].read();
+            if clients[0].input.starts_with(b"-LOADING") && clients[0].input.ends_with(b"\n") {
+                clients[0].input.clear();
+                clients[0].send(PING);
+            }
+            clients[0].input == b"+PONG\r\n"
+        });
+        clients[0].input.clear();
         for (n, client) in clients.iter_mut().enumerate() {
             client.send(request_of(500 + n as u64, "API.WRITE", 1 + n as u64, SUBMIT));
         }
