Hear a discovery that is back within half of the grace, and answers without a length

A call that has said nothing is kept for 2 s beside those that follow it; - a watch whose answer has neither chunks nor a length was taken for none and never heard (discovery.rs, Call::read); - a counter's total without a length was lost with its connection (http.rs, answer). It counts when the sending has ended; a reset is no end, in either; - what a server said or ended before the first request on a new connection was read behind that request, as readiness is told once, and served as its answer (attempts.rs, on_link).

--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -81,13 +81,18 @@
     pub counter_again: Duration,
     /// Discovery is taken as silent after this: its line is due every 2 s.
     pub list_silence: Duration,
-    /// And after this on a new call, which it answers at once: whatever it has to tell counts as told some
-    /// seconds later, heard or not.
+    /// And after this on a new call, which it answers at once: what it has to tell when it is back counts as told then,
+    /// heard or not, and the grace runs.
     pub list_first: Duration,
+    /// A call that has said nothing may still be answered for so long, beside those that follow it.
+    pub list_elder: Duration,
     /// Discovery is called again after this, ...
     pub list_again: Duration,
-    /// ... twice as long after each call that failed again, up to this, less up to half of it at random.
+    /// ... twice as long after each call that failed again, up to this, less up to half of it at random, ...
     pub list_again_most: Duration,
+    /// ... where the call was turned away: an overbooked discovery is not to be kept so. After one that broke, up to this
+    /// alone: it may be back, and the grace runs.
+    pub list_again_broken: Duration,
     /// An address that another process still listens on is waited for so long, ...
     pub address: Duration,
     /// ... and tried again after this.
@@ -120,7 +125,9 @@
         let ms = Duration::from_millis;
         let memory = memory_mb.max(32) << 20;
         let longest = options.longest_deadline();
-        let (list_again, list_silence, list_first) = (ms(200), ms(3000), ms(1000));
+        let (list_again, list_silence) = (ms(200), ms(3000));
+        // Guards against sends to what a discovery that is back has told drained: heard within half of the grace.
+        let list_first = (options.drain_grace() / 2).clamp(list_again, ms(1000));
         // Guards against sends to what counts as told drained: a watch that dies silently, a new call that is silent
         // and the longest wait after calls that fail end in time, whatever the settings' grace.
         let told = TOLD + options.drain_grace();
@@ -163,7 +170,10 @@
             list_first,
             list_again,
             // All ingresses together call some forty times a second, where there is time for that.
+            list_elder: ms(2000),
+            // All ingresses together call some forty times a second, where there is time for that.
             list_again_most: ms(30 * u64::from(options.ingresses())).clamp(list_again, told.min(ms(3000))),
+            list_again_broken: list_first,
             address: ms(3000),
             address_again: ms(20),
             ready: ms(1000),
--- a/ingress/src/protocol/http.rs
+++ b/ingress/src/protocol/http.rs
@@ -86,8 +86,9 @@
     Ok(Some((&found[..size], start + size + 2)))
 }
 
-/// A whole answer with its body: what the counter sends.
-pub fn answer<'a>(input: &'a [u8], limits: &Limits) -> Parsed<(Head, &'a [u8])> {
+/// A whole answer with its body: what the counter sends. `ended`: the other side has ended its sending, which alone
+/// ends a body without a length; a reset does not.
+pub fn answer<'a>(input: &'a [u8], ended: bool, limits: &Limits) -> Parsed<(Head, &'a [u8])> {
     let Some((found, at)) = head(input, limits)? else { return Ok(None) };
     match found.body {
         Body::Length(n) => Ok(input.get(at..at + n).map(|body| ((found, body), at + n))),
@@ -104,7 +105,7 @@
                 false => Err(Malformed("a total in several chunks")),
             }
         }
-        Body::UntilEnd => Err(Malformed("a body without its length")),
+        Body::UntilEnd => Ok(ended.then(|| ((found, &input[at..]), input.len()))),
     }
 }
 
@@ -130,7 +131,7 @@
     }
 
     fn parsed(text: &str) -> Result<Option<(u16, String, bool, usize)>, Malformed> {
-        let found = answer(text.as_bytes(), &limits())?;
+        let found = answer(text.as_bytes(), false, &limits())?;
         Ok(found.map(|((h, body), used)| (h.status, String::from_utf8_lossy(body).into(), h.closes, used)))
     }
 
@@ -146,11 +147,10 @@
     }
 
     #[test]
-    fn a_refusal_may_close_and_an_unframed_or_odd_answer_is_malformed() {
+    fn a_refusal_may_close_and_an_odd_answer_is_malformed() {
         let refusal = "HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
         assert_eq!(parsed(refusal), Ok(Some((503, String::new(), true, refusal.len()))));
         for bad in [
-            "HTTP/1.1 200 OK\r\n\r\n12",
             "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
             "HTTP/1.1 200 OK\r\nno colon\r\n\r\n",
@@ -160,6 +160,15 @@
         }
     }
 
+    #[test]
+    fn a_body_without_a_length_is_whole_when_the_sending_has_ended() {
+        let text = b"HTTP/1.1 200 OK\r\n\r\n12";
+        assert_eq!(answer(text, false, &limits()), Ok(None), "more may follow");
+        let (found, used) = answer(text, true, &limits()).unwrap().unwrap();
+        assert_eq!((found.0.body, found.1, used), (Body::UntilEnd, &b"12"[..], text.len()));
+        assert_eq!(answer(&text[..18], true, &limits()), Ok(None), "its head is not whole");
+    }
+
     #[test]
     fn a_call_is_worded_as_the_counter_takes_it() {
         let mut out = Vec::new();
--- a/ingress/src/routing/attempts.rs
+++ b/ingress/src/routing/attempts.rs
@@ -313,7 +313,9 @@
             if !ready.writable {
                 return;
             }
-            if link.stream.connected().is_err() {
+            // Guards against what a server says unasked, and an end, before the first request: read behind the request,
+            // as readiness is told once, it would be taken for its answer.
+            if link.stream.connected().is_err() || !link.stream.quiet() {
                 return self.break_link(key, Outcome::ConnectFailed, io);
             }
             let server = link.server;
--- a/ingress/src/routing/counter.rs
+++ b/ingress/src/routing/counter.rs
@@ -212,7 +212,7 @@
         good = stream.flush().is_ok();
         if good && ready.readable {
             let filled = stream.fill(io.limits.list_bytes, io.limits.chunk_bytes, ready.ended);
-            spoilt = !self.take_answers(n, io, life);
+            spoilt = !self.take_answers(n, filled == Fill::Ended, io, life);
             good = !spoilt && matches!(filled, Fill::Drained | Fill::Limited);
         }
         let wire = &mut self.wires[n];
@@ -227,12 +227,12 @@
         self.move_on(n, io, life);
     }
 
-    /// Matches answers to calls, oldest first. False if the connection is of no more use.
-    fn take_answers(&mut self, n: usize, io: &Io, life: &mut Life) -> bool {
+    /// Matches answers to calls, oldest first; `ended`: no more follows. False if the connection is of no more use.
+    fn take_answers(&mut self, n: usize, ended: bool, io: &Io, life: &mut Life) -> bool {
         let wire = &mut self.wires[n];
         let Some(stream) = &mut wire.stream else { return false };
         loop {
-            let ((head, body), used) = match http::answer(stream.input(), &io.limits) {
+            let ((head, body), used) = match http::answer(stream.input(), ended, &io.limits) {
                 Ok(Some(found)) => found,
                 Ok(None) => {
                     wire.part = wire.part.or(Some(io.now)).filter(|_| !stream.input().is_empty());
--- a/ingress/src/routing/discovery.rs
+++ b/ingress/src/routing/discovery.rs
@@ -3,19 +3,24 @@
 use super::core::Core;
 use super::{Io, Party};
 use crate::limits::Limits;
-use crate::protocol::http::{self, Body};
+use crate::protocol::http::{self, Body, Head};
 use crate::protocol::list::{self, Lists};
 use crate::transport::{connect, Fill, Ready, Stream};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The answer is not one that stays open.
+const TURNED_AWAY: &str = "not a watch";
+
 /// One call: an answer that stays open.
 struct Call {
     stream: Stream,
+    made: Duration,
     /// Counts the connections: news of one that is gone must not reach its successor.
     serial: u32,
     up: bool,
-    streaming: bool,
+    /// How its answer is framed, once its head has come.
+    body: Option<Body>,
     lists: Lists,
 }
 
@@ -23,7 +28,7 @@
 pub(super) struct Watch {
     address: SocketAddr,
     call: Option<Call>,
-    /// The call before, where it has said nothing yet. Guards against a discovery that answers a little later than a
+    /// A call before, where it has said nothing yet. Guards against a discovery that answers a little later than a
     /// call is waited for: each would be given up a moment before.
     elder: Option<Call>,
     serial: u32,
@@ -62,10 +67,11 @@
         (self.failed, self.garbled, self.elder) = (0, false, None);
     }
 
-    /// How long to wait before the next call: guards against many ingresses that keep an overbooked discovery
-    /// overbooked by calling again at the same pace, and in step.
-    fn back_off(&mut self, limits: &Limits) -> Duration {
-        let longest = limits.list_again.saturating_mul(1 << self.failed.min(10)).min(limits.list_again_most);
+    /// How long to wait before the next call: guards against many ingresses that keep an overbooked discovery, which
+    /// turns calls away, overbooked by calling again at the same pace, and in step.
+    fn back_off(&mut self, turned_away: bool, limits: &Limits) -> Duration {
+        let most = if turned_away { limits.list_again_most } else { limits.list_again_broken };
+        let longest = limits.list_again.saturating_mul(1 << self.failed.min(10)).min(most);
         self.failed += 1;
         longest.mul_f64(1.0 - self.rng.f64() / 2.0)
     }
@@ -88,24 +94,30 @@
             return Ok(());
         }
         let filled = stream.fill(limits.list_bytes + limits.line_bytes, limits.chunk_bytes, ready.ended);
-        while !self.streaming {
+        while self.body.is_none() {
             match http::head(stream.input(), limits).map_err(|e| e.0)? {
                 // What comes before the answer is no answer.
                 Some((head, used)) if (100..=199).contains(&head.status) => stream.take(used),
-                Some((head, used)) if head.status == 200 && head.body == Body::Chunked => {
+                Some((Head { status: 200, body: body @ (Body::Chunked | Body::UntilEnd), .. }, used)) => {
                     stream.take(used);
-                    self.streaming = true;
+                    self.body = Some(body);
                 }
-                Some(_) => return Err("not a watch"),
+                Some(_) => return Err(TURNED_AWAY),
                 None => break,
             }
         }
-        while self.streaming {
-            let Some((chunk, used)) = http::chunk(stream.input(), limits).map_err(|e| e.0)? else { break };
-            if chunk.is_empty() {
+        while let Some(body) = self.body.filter(|_| !stream.input().is_empty()) {
+            let (part, used) = match body {
+                Body::Chunked => match http::chunk(stream.input(), limits).map_err(|e| e.0)? {
+                    Some(found) => found,
+                    None => break,
+                },
+                _ => (stream.input(), stream.input().len()),
+            };
+            if part.is_empty() {
                 return Err("watch ended");
             }
-            self.lists.take(chunk, lines);
+            self.lists.take(part, lines);
             if self.lists.held() > limits.list_bytes {
                 return Err("line too long");
             }
@@ -128,10 +140,11 @@
         let opened = connect(&watch.address, io.limits.chunk_bytes).and_then(|mut stream| {
             io.poller.add(stream.fd(), Party::Watch(serial).token())?;
             http::put_watch(stream.output(), &watch.address.to_string(), self.life.fleet().rev);
-            Ok(Call { stream, serial, up: false, streaming: false, lists: Lists::default() })
+            Ok(Call { stream, made: io.now, serial, up: false, body: None, lists: Lists::default() })
         });
         watch.call = opened.ok();
-        let wait = if watch.call.is_some() { io.limits.list_first } else { watch.back_off(&io.limits) };
+        let wait =
+            if watch.call.is_some() { io.limits.list_first } else { watch.back_off(false, &io.limits) };
         io.deadlines.set(&mut watch.due, Some(io.now + wait), Party::Watch(0));
     }
 
@@ -179,7 +192,7 @@
         if let Err(why) = state {
             tracing::warn!(event = "discovery.broke", why, "discovery: {why}; calling again");
             self.watch.call = None;
-            let again = io.now + self.watch.back_off(&io.limits);
+            let again = io.now + self.watch.back_off(why == TURNED_AWAY, &io.limits);
             io.deadlines.set(&mut self.watch.due, Some(again), Party::Watch(0));
         }
     }
@@ -197,7 +210,9 @@
         self.watch.due = None;
         if let Some(call) = self.watch.call.take() {
             // One that has spoken and fallen silent is broken; one that has yet to speak may be late.
-            self.watch.elder = Some(call).filter(|c| !c.streaming);
+            let late = |c: &Call| c.body.is_none() && io.now < c.made + io.limits.list_elder;
+            let elder = self.watch.elder.take().filter(late);
+            self.watch.elder = elder.or(Some(call).filter(late));
             let rev = self.life.fleet().rev;
             tracing::warn!(
                 event = "discovery.silent",
@@ -223,7 +238,7 @@
             let mut now = Duration::ZERO;
             while now < Duration::from_secs(10) {
                 at.push(now.as_millis() / 20);
-                let wait = watch.back_off(&limits);
+                let wait = watch.back_off(true, &limits);
                 assert!(wait <= Duration::from_secs(3), "no longer than what is told may stay unheard");
                 now += wait;
             }
@@ -237,7 +252,7 @@
         for (ingresses, grace) in [(2, 0), (2, 1000), (2, 2000), (300, 0), (300, 1000), (300, 2000)] {
             let limits = Limits::of_test_with(ingresses, grace);
             let mut watch = Watch::new("127.0.0.1:1".parse().unwrap(), 5);
-            let longest = (0..1000).map(|_| watch.back_off(&limits)).max().unwrap();
+            let longest = (0..1000).map(|n| watch.back_off(n % 2 == 0, &limits)).max().unwrap();
             let heard = limits.list_silence + limits.list_first + longest;
             let told = Duration::from_millis(6000 + u64::from(grace));
             let margin = Duration::from_millis(200);
--- a/ingress/tests/common/mod.rs
+++ b/ingress/tests/common/mod.rs
@@ -179,6 +179,13 @@
         self.ends.clear();
     }
 
+    /// It listens again where it did.
+    pub fn revive(&mut self) {
+        let listener = TcpListener::bind(self.address).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        self.listener = Some(listener);
+    }
+
     /// The next whole command on any connection, with the connection's number.
     pub fn command(&mut self) -> Option<(usize, Vec<String>)> {
         self.ends.iter_mut().enumerate().find_map(|(n, end)| Some((n, end.command()?)))
