Count nothing for a client that leaves amid the write; force what crosses a write in tests

Seen by reading, and in ingress/tests/crossings.rs, seen to fail without the mend: - an attempt that was called off before its last byte was written was told as one that may have run (attempts.rs, cancel): its client's units stayed on the count though no server had the request whole (total 2, should be 1). Now it never ran, as when a server breaks the connection there. New tests of what was listed as impossible to force: with small segments loopback takes in some 35 KB, so that a command or an answer of 60 KB stays partly unwritten.

--- a/ingress/src/routing/attempts.rs
+++ b/ingress/src/routing/attempts.rs
@@ -301,7 +301,8 @@
         let Some(key) = self.life.carrier(request) else { return };
         let Some(link) = self.links.get(key) else { return };
         if link.state.job().is_some_and(|j| j.task == Task::Attempt(request, attempt)) {
-            let written = matches!(link.state, State::Busy(_));
+            // A server begins a request when its last byte has come.
+            let written = matches!(link.state, State::Busy(_)) && link.stream.unwritten() == 0;
             self.break_link(key, if written { Outcome::Cancelled } else { Outcome::Moot }, io);
         }
     }
--- a/ingress/tests/common/mod.rs
+++ b/ingress/tests/common/mod.rs
@@ -55,6 +55,13 @@
         End::new(TcpStream::from(fd))
     }
 
+    /// One that takes in little at a time: of a long answer only a part can be written until it reads on.
+    pub fn narrow(to: SocketAddr) -> End {
+        let socket = narrow();
+        socket.connect(&to.into()).unwrap();
+        End::new(TcpStream::from(socket))
+    }
+
     /// Takes in what has come.
     pub fn read(&mut self) {
         let mut buf = [0; 4096];
@@ -73,6 +80,19 @@
         assert!(self.try_send(bytes), "loopback took only a part");
     }
 
+    /// How many bytes wait to be read, up to some.
+    pub fn peeks(&self) -> usize {
+        self.stream.peek(&mut [0; 64]).unwrap_or(0)
+    }
+
+    /// Takes in so many bytes, or as many as have come.
+    pub fn read_some(&mut self, most: usize) -> usize {
+        let mut buf = vec![0; most];
+        let n = self.stream.read(&mut buf).unwrap_or(0);
+        self.input.extend_from_slice(&buf[..n]);
+        n
+    }
+
     /// Sends what loopback takes; how much it was.
     pub fn send_some(&mut self, bytes: &[u8]) -> usize {
         self.stream.write(bytes).unwrap_or(0)
@@ -121,6 +141,15 @@
     }
 }
 
+/// A socket that takes in some 35 KB at most before it is read: small segments keep the sender's buffer small too.
+fn narrow() -> socket2::Socket {
+    use socket2::{Domain, Socket, Type};
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_tcp_mss(536).unwrap();
+    socket.set_recv_buffer_size(1024).unwrap();
+    socket
+}
+
 /// A party that listens.
 pub struct Party {
     listener: Option<TcpListener>,
@@ -137,6 +166,17 @@
         Party { address, listener: Some(listener), waiting: Vec::new(), ends: Vec::new() }
     }
 
+    /// One that takes in little at a time: of a long command only a part can be written until it reads on.
+    pub fn narrow() -> Party {
+        let socket = narrow();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(16).unwrap();
+        let listener = TcpListener::from(socket);
+        listener.set_nonblocking(true).unwrap();
+        let address = listener.local_addr().unwrap();
+        Party { address, listener: Some(listener), waiting: Vec::new(), ends: Vec::new() }
+    }
+
     /// The listener's queue is full: connections stay in the making until `empty`.
     pub fn fill_up(&mut self) {
         rustix::net::listen(self.listener.as_ref().unwrap(), 0).unwrap();
--- a/ingress/tests/crossings.rs
+++ b/ingress/tests/crossings.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use common::*;
+use roseyard_ingress::protocol::resp;
 use std::time::Duration;
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -333,6 +334,33 @@
     ends(&mut site);
 }
 
+#[test]
+fn an_answer_half_written_at_the_end_goes_on_for_a_client_that_reads_and_holds_nobody_up() {
+    for reads in [true, false] {
+        let mut site = Site::new(1);
+        let mut client = End::narrow(site.program.address().unwrap());
+        client.send(load(1));
+        let (s, c, _) = site.arrival();
+        let value = "v".repeat(60_000);
+        site.servers[s].ends[c].send(served(&value));
+        site.until("the answer is taken in", |s| s.program.open().0 == 0);
+        for _ in 0..5 {
+            site.round();
+        }
+        assert!(site.program.clients_hold().1 > 0, "a part of the answer could not be written yet");
+        drain(&mut site);
+        site.advance(3001);
+        if reads {
+            site.expect(&mut client, &format!("$60000\r\n{value}\r\n"));
+            site.ended(&mut client);
+            drop(client);
+        } else {
+            site.now += Duration::from_millis(501);
+        }
+        ends(&mut site);
+    }
+}
+
 #[test]
 fn sighup_beside_sigterm_moves_what_is_held_and_the_end_comes_all_the_same() {
     for first in ["hup", "term"] {
@@ -706,6 +734,78 @@
 
 // Connections to servers.
 
+/// A submit with a body of this size, which servers of one cell alone may be sent twice.
+fn long_submit(id: u64, body: usize) -> Vec<u8> {
+    let mut out = Vec::new();
+    resp::put_array(&mut out, 5);
+    let (customer, id) = (format!("{:016x}", 0xb4d6_5521u64), format!("{id:016x}"));
+    for word in [b"API.WRITE", customer.as_bytes(), id.as_bytes(), SUBMIT.as_bytes(), &vec![b'x'; body]] {
+        resp::put_bulk(&mut out, word);
+    }
+    out
+}
+
+const BODY: usize = 60_000;
+
+/// Two servers of different cells, and a submit of which a part is written to one, which reads nothing.
+fn amid_the_write(client: &mut Option<End>) -> (Site, usize) {
+    let mut site = Site::new(2);
+    site.servers = vec![Party::narrow(), Party::narrow()];
+    site.start_by(config(&site.counter.party, &site.discovery, &site.servers, 1024));
+    client.insert(site.client()).send(long_submit(1, BODY));
+    let begun = |party: &Party| party.ends.first().is_some_and(|e| e.peeks() > 0);
+    while !site.servers.iter().any(begun) {
+        let now = site.now;
+        site.program.round(Some(Duration::from_millis(1)), || now).unwrap();
+        site.counter.serve();
+        site.servers.iter_mut().for_each(Party::accept);
+    }
+    let s = site.servers.iter().position(begun).unwrap();
+    (site, s)
+}
+
+#[test]
+fn a_server_that_ends_or_speaks_amid_our_write_never_ran_the_request() {
+    for what in ["end", "reset", "served", "busy", "half"] {
+        for read in [0, 1, 700, 4000] {
+            let mut client = None;
+            let (mut site, s) = amid_the_write(&mut client);
+            let mut broken = site.servers[s].ends.remove(0);
+            while broken.input.len() < read {
+                broken.read_some(read - broken.input.len());
+            }
+            match what {
+                "end" => broken.hang_up(),
+                "reset" => broken.reset(),
+                "served" => broken.send(served("x")),
+                "busy" => broken.send("-BUSY\r\n"),
+                _ => broken.send("*3\r\n$1\r\n"),
+            }
+            // In another cell: only what surely never ran may go there.
+            let (other, c, words) = site.arrival();
+            assert_eq!((other, words[4].len()), (1 - s, BODY), "{what} after {read} bytes");
+            site.servers[other].ends[c].send(served("v"));
+            site.expect(client.as_mut().unwrap(), "$1\r\nv\r\n");
+            broken.read();
+            assert!(broken.input.len() < BODY, "{what}: it has the whole command");
+        }
+    }
+}
+
+#[test]
+fn a_client_that_leaves_amid_the_write_has_nothing_run_and_counts_for_nothing() {
+    let mut client = None;
+    let (mut site, s) = amid_the_write(&mut client);
+    drop(client);
+    site.until("the client has gone", |s| s.program.open().2 == 0);
+    nothing_is_sent_on(&mut site, "amid the write");
+    assert_eq!(site.program.open(), (0, 0, 0), "its connection goes too");
+    assert!(!site.servers[s].ends[0].open && site.servers[s].ends[0].input.len() < BODY);
+    let mut other = site.client();
+    serve(&mut site, &mut other, load(2));
+    assert_eq!(site.counter.totals["00000000b4d65521"], 1.0, "no request has reached a server whole");
+}
+
 #[test]
 fn what_a_server_says_before_it_was_asked_is_taken_for_no_answer() {
     // A whole value, half a line, an end: there before the new connection's first request is written.
