Keep a call to discovery whose head has come and whose first line is late

Seen by reading: a call that had its answer's head but no line within the wait (now half of the grace, 1 s at most) was taken for one that had spoken and fallen silent, and ended (discovery.rs, on_watch_due). Where nothing has changed the first line may be the empty one, due after 2 s: each such call would be ended before it. The test has a head at once and the first line 2.1 s later on every call; without the mend discovery is never heard.

--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -170,7 +170,8 @@
             list_first,
             list_again,
             // All ingresses together call some forty times a second, where there is time for that.
-            list_elder: ms(2000),
+            // Where nothing has changed, its first line may be the empty one, which is due after 2 s.
+            list_elder: ms(2500),
             // All ingresses together call some forty times a second, where there is time for that.
             list_again_most: ms(30 * u64::from(options.ingresses())).clamp(list_again, told.min(ms(3000))),
             list_again_broken: list_first,
--- a/ingress/src/routing/discovery.rs
+++ b/ingress/src/routing/discovery.rs
@@ -21,6 +21,8 @@
     up: bool,
     /// How its answer is framed, once its head has come.
     body: Option<Body>,
+    /// It has brought a line.
+    spoke: bool,
     lists: Lists,
 }
 
@@ -118,6 +120,7 @@
                 return Err("watch ended");
             }
             self.lists.take(part, lines);
+            self.spoke |= !lines.is_empty();
             if self.lists.held() > limits.list_bytes {
                 return Err("line too long");
             }
@@ -140,7 +143,15 @@
         let opened = connect(&watch.address, io.limits.chunk_bytes).and_then(|mut stream| {
             io.poller.add(stream.fd(), Party::Watch(serial).token())?;
             http::put_watch(stream.output(), &watch.address.to_string(), self.life.fleet().rev);
-            Ok(Call { stream, made: io.now, serial, up: false, body: None, lists: Lists::default() })
+            Ok(Call {
+                stream,
+                made: io.now,
+                serial,
+                up: false,
+                body: None,
+                spoke: false,
+                lists: Lists::default(),
+            })
         });
         watch.call = opened.ok();
         let wait =
@@ -210,7 +221,7 @@
         self.watch.due = None;
         if let Some(call) = self.watch.call.take() {
             // One that has spoken and fallen silent is broken; one that has yet to speak may be late.
-            let late = |c: &Call| c.body.is_none() && io.now < c.made + io.limits.list_elder;
+            let late = |c: &Call| !c.spoke && io.now < c.made + io.limits.list_elder;
             let elder = self.watch.elder.take().filter(late);
             self.watch.elder = elder.or(Some(call).filter(late));
             let rev = self.life.fleet().rev;
--- a/ingress/tests/crossings.rs
+++ b/ingress/tests/crossings.rs
@@ -557,11 +557,13 @@
 #[test]
 fn a_discovery_that_answers_slowly_is_heard_before_its_news_must_have_been_acted_on() {
     for grace in [2000, 400] {
-        slowly(grace);
+        // All of it late, and its first line late behind its head.
+        slowly(grace, 1200, false);
+        slowly(grace, 2100, true);
     }
 }
 
-fn slowly(grace: u32) {
+fn slowly(grace: u32, late: u64, head_first: bool) {
     let mut site = Site::new(2);
     let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
     site.start_by(
@@ -571,15 +573,21 @@
     site.talks = false;
     let told = site.now;
     let news = list(42, false, &[target(0, site.servers[0].address, "DRAINING")]);
-    // Each call is answered 1.2 s after it was made; the first watch has fallen silent.
+    // Each call is answered so long after it was made; the first watch has fallen silent.
     let mut calls = vec![None; site.discovery.ends.len()];
     while site.program.list_version() == 41 {
         site.advance(50);
         site.round();
-        calls.resize(site.discovery.ends.len(), Some(site.now + Duration::from_millis(1200)));
+        while calls.len() < site.discovery.ends.len() {
+            if head_first {
+                site.discovery.ends[calls.len()].send(HEAD);
+            }
+            calls.push(Some(site.now + Duration::from_millis(late)));
+        }
         for (n, at) in calls.iter_mut().enumerate() {
             if at.is_some_and(|at| at <= site.now) {
-                site.discovery.ends[n].send(format!("{HEAD}{}", chunk(&news)));
+                let head = if head_first { "" } else { HEAD };
+                site.discovery.ends[n].send(format!("{head}{}", chunk(&news)));
                 *at = None;
             }
         }
