Take a refusal with more behind it for no proof; spare a discovery that is asked

Seen by reading; tests in ingress/tests/crossings.rs: - -BUSY with further bytes behind it was taken as proof that the request never ran (attempts.rs, on_answer), though whose refusal it is cannot be told on a link that is out of step: a request of an unsafe class was sent again (seen to fail without the mend).

--- a/engine/src/fleet.rs
+++ b/engine/src/fleet.rs
@@ -124,7 +124,7 @@
         let held = self.numbers.get(&target.uid).and_then(|id| self.servers.get(id));
         target.state == "SERVING"
             && (held.is_some_and(|s| later(s.rev, s.started))
-                || self.gone.iter().any(|(uid, told, since)| *uid == target.uid && later(*told, *since)))
+                || self.gone.iter().any(|(uid, told, since)| later(*told, *since) && *uid == target.uid))
     }
 
     /// Guards against a new server at the address of one that is gone but was not told gone: the old one's
--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -90,8 +90,8 @@
     pub list_again: Duration,
     /// ... twice as long after each call that failed again, up to this, less up to half of it at random, ...
     pub list_again_most: Duration,
-    /// ... where the call was turned away: an overbooked discovery is not to be kept so. After one that broke, up to this
-    /// alone: it may be back, and the grace runs.
+    /// ... where the call was turned away: an overbooked discovery is not to be kept so. After one that broke, up to this:
+    /// an agent may be back, and the grace runs.
     pub list_again_broken: Duration,
     /// An address that another process still listens on is waited for so long, ...
     pub address: Duration,
@@ -126,12 +126,15 @@
         let memory = memory_mb.max(32) << 20;
         let longest = options.longest_deadline();
         let (list_again, list_silence) = (ms(200), ms(3000));
-        // Guards against sends to what a discovery that is back has told drained: heard within half of the grace.
-        let list_first = (options.drain_grace() / 2).clamp(list_again, ms(1000));
+        // Guards against sends to what an agent that is back has told drained: heard within half of the grace.
+        let soon = if options.pushed() { options.drain_grace() / 2 } else { ms(1000) };
+        let list_first = soon.clamp(list_again, ms(1000));
         // Guards against sends to what counts as told drained: a watch that dies silently, a new call that is silent
         // and the longest wait after calls that fail end in time, whatever the settings' grace.
         let told = TOLD + options.drain_grace();
         let told = told.saturating_sub(TOLD_MARGIN + list_silence + list_first);
+        // All ingresses together call some forty times a second, where there is time for that.
+        let list_again_most = ms(30 * u64::from(options.ingresses())).clamp(list_again, told.min(ms(3000)));
         Limits {
             value_bytes: 64 << 10,
             line_bytes: 8 << 10,
@@ -169,12 +172,10 @@
             list_silence,
             list_first,
             list_again,
-            // All ingresses together call some forty times a second, where there is time for that.
             // Where nothing has changed, its first line may be the empty one, which is due after 2 s.
             list_elder: ms(2500),
-            // All ingresses together call some forty times a second, where there is time for that.
-            list_again_most: ms(30 * u64::from(options.ingresses())).clamp(list_again, told.min(ms(3000))),
-            list_again_broken: list_first,
+            list_again_most,
+            list_again_broken: if options.pushed() { list_first } else { list_again_most },
             address: ms(3000),
             address_again: ms(20),
             ready: ms(1000),
--- a/ingress/src/routing/attempts.rs
+++ b/ingress/src/routing/attempts.rs
@@ -401,6 +401,8 @@
         self.rests.told(link.rest, false, io.now);
         // Whole and alone, or the connection is of no further use.
         let clean = !spoilt && link.stream.input().is_empty();
+        // Guards against a request that runs twice: a refusal with more behind it may be another request's.
+        let outcome = if outcome == Outcome::Full && !clean { Outcome::Error } else { outcome };
         if clean {
             self.rest(key, io);
         } else {
--- a/ingress/tests/crossings.rs
+++ b/ingress/tests/crossings.rs
@@ -646,6 +646,27 @@
     }
 }
 
+#[test]
+fn a_discovery_that_is_asked_and_makes_calls_wait_is_not_called_faster_for_a_short_grace() {
+    let mut calls = Vec::new();
+    for mode in ["automatic", "subscribe"] {
+        let mut site = Site::new(1);
+        let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
+        let text = text.replace("\"StopSendingWithinMs\":2000.0", "\"StopSendingWithinMs\":500.0");
+        assert!(text.contains("\"Discovery\":\"automatic\""));
+        site.start_by(text.replace("\"Discovery\":\"automatic\"", &format!("\"Discovery\":{mode:?}")));
+        site.talks = false;
+        site.advance(10);
+        let before = site.watches.len();
+        for _ in 0..200 {
+            site.advance(50);
+        }
+        calls.push(site.watches.len() - before);
+    }
+    // Silent for 10 s: the first 3 s belong to the watch that was open.
+    assert!(calls[0] > 20 && calls[1] <= 8, "{calls:?}");
+}
+
 #[test]
 fn an_older_list_neither_brings_back_what_drains_nor_loses_what_is_newer() {
     for restarted in [false, true] {
@@ -887,6 +908,9 @@
         ("form-load", "*3\r\n$1\r\nv", false),
         ("form-load", "", false),
         ("a", "-BUSYBODY\r\n", false),
+        // More behind it: whose refusal it is cannot be told.
+        ("a", "-BUSY\r\n-BUSY\r\n", false),
+        ("a", "-BUSY\r\n*3\r\n", false),
     ] {
         let mut site = Site::new(3);
         let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -192,6 +192,12 @@
         Some(ms(self.ceilings.conn_idle_ms)).filter(|d| !d.is_zero())
     }
 
+    /// Does an agent beside the ingress hold what discovery has pushed, and answer at once? Else each call is a load on
+    /// discovery itself, and may wait there.
+    pub fn pushed(&self) -> bool {
+        self.discovery == "automatic"
+    }
+
     /// Sends to a server that was told draining or gone end within this.
     pub fn drain_grace(&self) -> Duration {
         ms(self.guarantees.stop_sending_within_ms)
