Start tests under changed words of the configuration in one way, which must be there

A word that the configuration does not have was passed over silently by each replace; now the test fails.

--- a/ingress/tests/common/mod.rs
+++ b/ingress/tests/common/mod.rs
@@ -380,6 +380,22 @@
         self.until("the watch", |s| s.watches.len() > watches);
     }
 
+    /// The same, with these words of the configuration, each of which it has, replaced by those behind them.
+    pub fn start_under(&mut self, words: &[(&str, &str)]) {
+        let mut text = config(&self.counter.party, &self.discovery, &self.servers, 1024);
+        for (was, is) in words {
+            assert!(text.contains(was), "the configuration has no {was}");
+            text = text.replace(was, is);
+        }
+        self.start_by(text);
+    }
+
+    /// The same, with so many milliseconds of grace for sends to what drains.
+    pub fn start_with_grace(&mut self, ms: u64, words: &[(&str, &str)]) {
+        let grace = format!("\"StopSendingWithinMs\":{ms}.0");
+        self.start_under(&[&[("\"StopSendingWithinMs\":2000.0", grace.as_str())], words].concat());
+    }
+
     pub fn client(&self) -> End {
         End::connect(self.program.address().unwrap())
     }
--- a/ingress/tests/crossings.rs
+++ b/ingress/tests/crossings.rs
@@ -563,12 +563,9 @@
     }
 }
 
-fn slowly(grace: u32, late: u64, head_first: bool) {
+fn slowly(grace: u64, late: u64, head_first: bool) {
     let mut site = Site::new(2);
-    let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
-    site.start_by(
-        text.replace("\"StopSendingWithinMs\":2000.0", &format!("\"StopSendingWithinMs\":{grace}.0")),
-    );
+    site.start_with_grace(grace, &[]);
     site.advance(10);
     site.talks = false;
     let told = site.now;
@@ -610,11 +607,7 @@
     for (grace, refuses) in [(500, false), (500, true), (1000, false), (1000, true), (2000, true)] {
         for at in (4000..6000).step_by(150) {
             let mut site = Site::new(2);
-            let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
-            let was = "\"StopSendingWithinMs\":2000.0";
-            assert!(text.contains(was));
-            let text = text.replace("\"Balancers\":1,", "\"Balancers\":300,");
-            site.start_by(text.replace(was, &format!("\"StopSendingWithinMs\":{grace}.0")));
+            site.start_with_grace(grace, &[("\"Balancers\":1,", "\"Balancers\":300,")]);
             site.talks = false;
             if refuses {
                 site.discovery.die();
@@ -649,12 +642,9 @@
 #[test]
 fn a_discovery_that_is_asked_and_makes_calls_wait_is_not_called_faster_for_a_short_grace() {
     let mut calls = Vec::new();
-    for mode in ["automatic", "subscribe"] {
+    for mode in ["\"Discovery\":\"automatic\"", "\"Discovery\":\"subscribe\""] {
         let mut site = Site::new(1);
-        let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
-        let text = text.replace("\"StopSendingWithinMs\":2000.0", "\"StopSendingWithinMs\":500.0");
-        assert!(text.contains("\"Discovery\":\"automatic\""));
-        site.start_by(text.replace("\"Discovery\":\"automatic\"", &format!("\"Discovery\":{mode:?}")));
+        site.start_with_grace(500, &[("\"Discovery\":\"automatic\"", mode)]);
         site.talks = false;
         site.advance(10);
         let before = site.watches.len();
@@ -713,8 +703,7 @@
 fn a_new_process_sends_nothing_by_its_old_list_before_discovery_has_spoken() {
     let mut site = Site::new(2);
     site.talks = false;
-    let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
-    site.start_by(text);
+    site.start_under(&[]);
     let mut client = site.client();
     client.send(load(1));
     assert!(site.line(&mut client).starts_with("-BUSY"), "the list of the configuration may be old");
@@ -732,8 +721,7 @@
 fn a_new_process_whose_discovery_is_silent_serves_by_its_list_after_its_time() {
     let mut site = Site::new(1);
     site.talks = false;
-    let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
-    site.start_by(text);
+    site.start_under(&[]);
     site.advance(1001);
     let mut client = site.client();
     serve(&mut site, &mut client, load(1));
@@ -780,7 +768,7 @@
 fn amid_the_write(client: &mut Option<End>) -> (Site, usize) {
     let mut site = Site::new(2);
     site.servers = vec![Party::narrow(), Party::narrow()];
-    site.start_by(config(&site.counter.party, &site.discovery, &site.servers, 1024));
+    site.start_under(&[]);
     client.insert(site.client()).send(long_submit(1, BODY));
     let begun = |party: &Party| party.ends.first().is_some_and(|e| e.peeks() > 0);
     while !site.servers.iter().any(begun) {
@@ -913,9 +901,7 @@
         ("a", "-BUSY\r\n*3\r\n", false),
     ] {
         let mut site = Site::new(3);
-        let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
-        let text = text.replacen("\"read_like\"", "\"non_idempotent\"", 1);
-        site.start_by(text.replace("\"form-load\"", &format!("{name:?}")));
+        site.start_under(&[("\"read_like\"", "\"non_idempotent\""), ("\"form-load\"", &format!("{name:?}"))]);
         let mut client = site.client();
         client.send(request("API.WRITE", 1, &LOAD.replace("form-load", name)));
         let (s, c, _) = site.arrival();
@@ -942,9 +928,10 @@
 fn a_keyed_request_is_not_written_again_once_its_repeat_would_no_longer_be_dropped() {
     for late in [false, true] {
         let mut site = Site::new(2);
-        let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
-        let text = text.replace("\"Group\":\"cell\"", "\"Group\":\"all\"");
-        site.start_by(text.replace("\"WindowMs\":8000.0", "\"WindowMs\":300.0"));
+        site.start_under(&[
+            ("\"Group\":\"cell\"", "\"Group\":\"all\""),
+            ("\"WindowMs\":8000.0", "\"WindowMs\":300.0"),
+        ]);
         site.round();
         let mut client = site.client();
         client.send(request("API.WRITE", 1, SUBMIT));
--- a/ingress/tests/sockets.rs
+++ b/ingress/tests/sockets.rs
@@ -979,9 +979,8 @@
     ];
     for settled in [true, false] {
         let mut site = Site::new(1);
-        let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
         let domain = format!("\"PostPaid\":{settled},\"SharedCounter\"");
-        site.start_by(text.replace("\"SharedCounter\"", &domain));
+        site.start_under(&[("\"SharedCounter\"", &domain)]);
         let mut client = site.client();
         for (n, (figures, settles_at)) in told.iter().enumerate() {
             let customer = format!("{:016x}", 500 + n);
@@ -1013,10 +1012,7 @@
         [1000, 2000].into_iter().flat_map(|g| [Watch::Silent, Watch::Torn, Watch::Moved].map(|w| (g, w)))
     {
         let mut site = Site::new(2);
-        let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
-        site.start_by(
-            text.replace("\"StopSendingWithinMs\":2000.0", &format!("\"StopSendingWithinMs\":{grace}.0")),
-        );
+        site.start_with_grace(grace, &[]);
         site.advance(10);
         // From here on discovery has told a drain to whoever could hear it.
         let told = site.now;
@@ -1063,8 +1059,7 @@
     const COMMIT: &str = "c=submit,t=seedling,d=3000,units=1,spread=1,first=0";
     for end in ["reset", "half an answer", "spoilt", "error", "silence", "sigterm"] {
         let mut site = Site::new(2);
-        let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
-        site.start_by(text.replace("\"Effect\":\"idempotency_key\"", "\"Effect\":\"non_idempotent\""));
+        site.start_under(&[("\"Effect\":\"idempotency_key\"", "\"Effect\":\"non_idempotent\"")]);
         let mut client = site.client();
         client.send(request("API.WRITE", 1, COMMIT));
         let (s, c, _) = site.arrival();
