Look once through a whole list for what it lacks

Fleet::apply searched the entries for each server held (servers times entries, in each whole list), and afterwards gathered the same set again to find what is kept. One set and one loop now: what the list lacks is gone, or is newer and told to the module with the rest, in the same order. Behaviour as before; the tests of older lists pass unchanged.

--- a/engine/src/fleet.rs
+++ b/engine/src/fleet.rs
@@ -86,11 +86,15 @@
             }
         }
         if list.all {
-            for (id, server) in &mut self.servers {
-                // Guards against an agent that is behind, or has nothing yet: what it lacks may be newer than its list.
-                if server.rev <= list.rev && !entries.iter().any(|e| e.server == *id) {
+            let listed: HashSet<ServerId> = entries.iter().map(|e| e.server).collect();
+            for (id, server) in self.servers.iter_mut().filter(|(id, _)| !listed.contains(id)) {
+                if server.rev <= list.rev {
                     server.state = ServerState::Gone;
                     change.stale.push(*id);
+                } else {
+                    // Guards against an agent that is behind, or has nothing yet: what it lacks is newer than its list,
+                    // is kept, and is told to the module with the rest.
+                    entries.push(server.told.clone());
                 }
             }
         }
@@ -106,12 +110,6 @@
         while self.gone.len() > GONE {
             self.gone.pop_front();
         }
-        if list.all {
-            // What the list lacks and is kept all the same is told to the module with the rest.
-            let listed: HashSet<ServerId> = entries.iter().map(|e| e.server).collect();
-            let kept = self.servers.iter().filter(|(id, _)| !listed.contains(id));
-            entries.extend(kept.map(|(_, s)| s.told.clone()).collect::<Vec<_>>());
-        }
         self.rev = list.rev;
         change.update = if list.all { ListUpdate::Full(entries) } else { ListUpdate::Changes(entries) };
         change
