Share what tests of crossings write again: a client that leaves, the next count, words

Four tests ended with the same three lines on the customer's next count, four began with the same two on a client that leaves, two waited in loops of their own, without a bound, for a server that reads nothing, and a command of five words was put together beside one of four. No assertion is changed.

--- a/ingress/tests/common/mod.rs
+++ b/ingress/tests/common/mod.rs
@@ -160,7 +160,10 @@
 
 impl Party {
     pub fn new() -> Party {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Party::of(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    fn of(listener: TcpListener) -> Party {
         listener.set_nonblocking(true).unwrap();
         let address = listener.local_addr().unwrap();
         Party { address, listener: Some(listener), waiting: Vec::new(), ends: Vec::new() }
@@ -171,10 +174,7 @@
         let socket = narrow();
         socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
         socket.listen(16).unwrap();
-        let listener = TcpListener::from(socket);
-        listener.set_nonblocking(true).unwrap();
-        let address = listener.local_addr().unwrap();
-        Party { address, listener: Some(listener), waiting: Vec::new(), ends: Vec::new() }
+        Party::of(TcpListener::from(socket))
     }
 
     /// The listener's queue is full: connections stay in the making until `empty`.
@@ -221,9 +221,7 @@
 
     /// It listens again where it did.
     pub fn revive(&mut self) {
-        let listener = TcpListener::bind(self.address).unwrap();
-        listener.set_nonblocking(true).unwrap();
-        self.listener = Some(listener);
+        self.listener = Party::of(TcpListener::bind(self.address).unwrap()).listener;
     }
 
     /// The next whole command on any connection, with the connection's number.
@@ -315,18 +313,29 @@
     File::parse("roseyard.kdl", text).unwrap()
 }
 
+/// The customer whose requests these are, where none is named.
+const CUSTOMER: u64 = 0xb4d6_5521;
+
 /// A request as clients word it.
 pub fn request(name: &str, id: u64, list: &str) -> Vec<u8> {
-    request_of(0xb4d6_5521, name, id, list)
+    request_of(CUSTOMER, name, id, list)
 }
 
 /// One of this customer.
 pub fn request_of(customer: u64, name: &str, id: u64, list: &str) -> Vec<u8> {
+    command(&[name, &format!("{customer:016x}"), &format!("{id:016x}"), list])
+}
+
+/// A submit with a body of this size.
+pub fn long_submit(id: u64, body: usize) -> Vec<u8> {
+    let (customer, id) = (format!("{CUSTOMER:016x}"), format!("{id:016x}"));
+    command(&["API.WRITE", &customer, &id, SUBMIT, &"x".repeat(body)])
+}
+
+fn command(words: &[&str]) -> Vec<u8> {
     let mut out = Vec::new();
-    resp::put_array(&mut out, 4);
-    for word in [name, &format!("{customer:016x}"), &format!("{id:016x}"), list] {
-        resp::put_bulk(&mut out, word.as_bytes());
-    }
+    resp::put_array(&mut out, words.len());
+    words.iter().for_each(|word| resp::put_bulk(&mut out, word.as_bytes()));
     out
 }
 
@@ -419,6 +428,21 @@
         goes_on
     }
 
+    /// Goes on until a server that reads nothing has been begun to be spoken to, as `begun` tells; which one it is.
+    pub fn unread(&mut self, begun: impl Fn(&Party) -> bool) -> usize {
+        let start = Instant::now();
+        loop {
+            let now = self.now;
+            self.program.round(Some(Duration::from_millis(1)), || now).unwrap();
+            self.counter.serve();
+            self.servers.iter_mut().for_each(Party::accept);
+            if let Some(s) = self.servers.iter().position(&begun) {
+                return s;
+            }
+            assert!(start.elapsed() < PATIENCE, "no server was spoken to");
+        }
+    }
+
     /// Goes on until the event has come.
     pub fn until(&mut self, what: &str, mut come: impl FnMut(&mut Site) -> bool) {
         let start = Instant::now();
--- a/ingress/tests/crossings.rs
+++ b/ingress/tests/crossings.rs
@@ -4,7 +4,6 @@
 mod common;
 
 use common::*;
-use roseyard_ingress::protocol::resp;
 use std::time::Duration;
 
 const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -44,6 +43,19 @@
     site.expect(client, "$1\r\nv\r\n");
 }
 
+/// The only client leaves, and the ingress has seen it.
+fn leaves(site: &mut Site, client: End) {
+    drop(client);
+    site.until("the client has gone", |s| s.program.open().2 == 0);
+}
+
+/// Another client's request of the same customer is served, and the count is this with it.
+fn counted_with_the_next(site: &mut Site, total: f64, what: &str) {
+    let mut other = site.client();
+    serve(site, &mut other, load(2));
+    assert_eq!(site.counter.totals["00000000b4d65521"], total, "{what}");
+}
+
 fn counter_waits(site: &Site) -> bool {
     site.counter.party.ends.iter().any(|e| !e.input.is_empty())
 }
@@ -58,8 +70,7 @@
         let mut client = site.client();
         client.send(load(1));
         site.until("the call", |s| counter_waits(s));
-        drop(client);
-        site.until("the client has gone", |s| s.program.open().2 == 0);
+        leaves(&mut site, client);
         if answered {
             site.counter.counting = Counting::Answers;
         }
@@ -68,9 +79,7 @@
         site.round();
         assert_eq!(site.program.open(), (0, 0, 0), "what it held is released");
         // What was added for it is taken off again with the customer's next add.
-        let mut other = site.client();
-        serve(&mut site, &mut other, load(2));
-        assert_eq!(site.counter.totals["00000000b4d65521"], 1.0, "answered: {answered}");
+        counted_with_the_next(&mut site, 1.0, &format!("answered: {answered}"));
     }
 }
 
@@ -81,15 +90,12 @@
     let mut client = site.client();
     client.send(load(1));
     site.until("the connection is begun", |s| s.program.open().1 == 1);
-    drop(client);
-    site.until("the client has gone", |s| s.program.open().2 == 0);
+    leaves(&mut site, client);
     site.servers[0].empty();
     nothing_is_sent_on(&mut site, "link");
     assert_eq!(site.program.open(), (0, 0, 0), "its connection goes too");
     // Nothing has reached a server: the customer's next request is the first that counts.
-    let mut other = site.client();
-    serve(&mut site, &mut other, load(2));
-    assert_eq!(site.counter.totals["00000000b4d65521"], 1.0);
+    counted_with_the_next(&mut site, 1.0, "no server was reached");
 }
 
 #[test]
@@ -104,8 +110,7 @@
             site.servers[1 - s].fill_up();
             site.servers[s].ends[c].send("-BUSY\r\n");
             site.until("the further attempt", |s| s.program.open().1 == 2);
-            drop(client);
-            site.until("the client has gone", |s| s.program.open().2 == 0);
+            leaves(&mut site, client);
             site.servers[1 - s].empty();
         } else {
             // Its going and the server's word come in one round.
@@ -114,9 +119,7 @@
         }
         nothing_is_sent_on(&mut site, "further attempt");
         assert_eq!((site.program.open().0, site.program.open().2), (0, 0));
-        let mut other = site.client();
-        serve(&mut site, &mut other, load(2));
-        assert_eq!(site.counter.totals["00000000b4d65521"], 2.0, "the first attempt has reached a server");
+        counted_with_the_next(&mut site, 2.0, "the first attempt has reached a server");
     }
 }
 
@@ -751,42 +754,24 @@
 
 // Connections to servers.
 
-/// A submit with a body of this size, which servers of one cell alone may be sent twice.
-fn long_submit(id: u64, body: usize) -> Vec<u8> {
-    let mut out = Vec::new();
-    resp::put_array(&mut out, 5);
-    let (customer, id) = (format!("{:016x}", 0xb4d6_5521u64), format!("{id:016x}"));
-    for word in [b"API.WRITE", customer.as_bytes(), id.as_bytes(), SUBMIT.as_bytes(), &vec![b'x'; body]] {
-        resp::put_bulk(&mut out, word);
-    }
-    out
-}
-
 const BODY: usize = 60_000;
 
-/// Two servers of different cells, and a submit of which a part is written to one, which reads nothing.
-fn amid_the_write(client: &mut Option<End>) -> (Site, usize) {
+/// Two servers of different cells, and a client's submit of which a part is written to one, which reads nothing.
+fn amid_the_write() -> (Site, End, usize) {
     let mut site = Site::new(2);
     site.servers = vec![Party::narrow(), Party::narrow()];
     site.start_under(&[]);
-    client.insert(site.client()).send(long_submit(1, BODY));
-    let begun = |party: &Party| party.ends.first().is_some_and(|e| e.peeks() > 0);
-    while !site.servers.iter().any(begun) {
-        let now = site.now;
-        site.program.round(Some(Duration::from_millis(1)), || now).unwrap();
-        site.counter.serve();
-        site.servers.iter_mut().for_each(Party::accept);
-    }
-    let s = site.servers.iter().position(begun).unwrap();
-    (site, s)
+    let mut client = site.client();
+    client.send(long_submit(1, BODY));
+    let s = site.unread(|party| party.ends.first().is_some_and(|e| e.peeks() > 0));
+    (site, client, s)
 }
 
 #[test]
 fn a_server_that_ends_or_speaks_amid_our_write_never_ran_the_request() {
     for what in ["end", "reset", "served", "busy", "half"] {
         for read in [0, 1, 700, 4000] {
-            let mut client = None;
-            let (mut site, s) = amid_the_write(&mut client);
+            let (mut site, mut client, s) = amid_the_write();
             let mut broken = site.servers[s].ends.remove(0);
             while broken.input.len() < read {
                 broken.read_some(read - broken.input.len());
@@ -802,7 +787,7 @@
             let (other, c, words) = site.arrival();
             assert_eq!((other, words[4].len()), (1 - s, BODY), "{what} after {read} bytes");
             site.servers[other].ends[c].send(served("v"));
-            site.expect(client.as_mut().unwrap(), "$1\r\nv\r\n");
+            site.expect(&mut client, "$1\r\nv\r\n");
             broken.read();
             assert!(broken.input.len() < BODY, "{what}: it has the whole command");
         }
@@ -811,16 +796,12 @@
 
 #[test]
 fn a_client_that_leaves_amid_the_write_has_nothing_run_and_counts_for_nothing() {
-    let mut client = None;
-    let (mut site, s) = amid_the_write(&mut client);
-    drop(client);
-    site.until("the client has gone", |s| s.program.open().2 == 0);
+    let (mut site, client, s) = amid_the_write();
+    leaves(&mut site, client);
     nothing_is_sent_on(&mut site, "amid the write");
     assert_eq!(site.program.open(), (0, 0, 0), "its connection goes too");
     assert!(!site.servers[s].ends[0].open && site.servers[s].ends[0].input.len() < BODY);
-    let mut other = site.client();
-    serve(&mut site, &mut other, load(2));
-    assert_eq!(site.counter.totals["00000000b4d65521"], 1.0, "no request has reached a server whole");
+    counted_with_the_next(&mut site, 1.0, "no request has reached a server whole");
 }
 
 #[test]
@@ -830,16 +811,8 @@
         let mut site = Site::new(2);
         let mut client = site.client();
         client.send(request("API.WRITE", 1, SUBMIT));
-        let spoke = loop {
-            // The connection is begun in one round and taken as up in the next.
-            let now = site.now;
-            site.program.round(Some(Duration::from_millis(1)), || now).unwrap();
-            site.counter.serve();
-            site.servers.iter_mut().for_each(Party::accept);
-            if let Some(s) = (0..2).find(|s| !site.servers[*s].ends.is_empty()) {
-                break s;
-            }
-        };
+        // The connection is begun in one round and taken as up in the next.
+        let spoke = site.unread(|party| !party.ends.is_empty());
         match early.as_str() {
             "" => site.servers[spoke].ends[0].end_sending(),
             early => site.servers[spoke].ends[0].send(early),
