Engine: a directory of services, changed by typed deltas

A route names its service and a service has its servers, by network or uid. Each delta costs what it changes, ids are never used again, and two directories' difference is a list of deltas. Pure; nothing uses it yet.

--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -13,12 +13,19 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod directory;
 mod engine;
 mod fleet;
 mod links;
 mod list;
+mod networks;
 mod slots;
+mod tables;
 
+pub use directory::{
+    Directory, DirectoryBounds, DirectoryChange, DirectoryEffect, DirectoryError, ServerSelector,
+    SINGLE_SERVICE,
+};
 pub use engine::{Answer, Ask, Bounds, End, Engine, Full, Output};
 pub use fleet::{Fleet, Server};
 pub use links::{Links, Rested};
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -9,6 +9,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u32);
 
+/// A service: the servers that answer one kind of request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceId(pub u32);
+
 /// One client try, unique for the life of a gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
