--- /dev/null
+++ b/engine/tests/directory.rs
@@ -0,0 +1,460 @@
+//! The directory of services against a naive model, through a churn of services, and its costs at two sizes.
+
+use ipnet::IpNet;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use roseyard::ServiceId;
+use roseyard_engine::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Told with every failure by the runner; another seed plays other changes.
+const SEED: u64 = 20_261_202;
+const BOUNDS: DirectoryBounds = DirectoryBounds { services: 4, routes: 6 };
+const NAMES: [&str; 6] = ["forms", "orders", "mail", "search", "images", "billing"];
+const ROUTES: [&str; 8] = ["a", "b", "eu/a", "eu/b", "us/a", "us/b", "", "a/long/one"];
+const UIDS: [&str; 4] = ["s-1", "s-2", "s-3", "s-4"];
+const NETWORKS: [&str; 8] = [
+    "10.0.0.0/8",
+    "10.1.0.0/16",
+    "10.1.2.0/24",
+    "10.1.2.3/32",
+    "0.0.0.0/0",
+    "2001:db8::/32",
+    "2001:db8:1::/48",
+    "192.0.2.0/25",
+];
+const ADDRESSES: [&str; 8] = [
+    "10.1.2.3:80",
+    "10.1.2.4:80",
+    "10.1.9.9:80",
+    "10.9.9.9:80",
+    "192.0.2.1:80",
+    "[2001:db8:1::5]:80",
+    "[2001:db8:2::5]:80",
+    "[::ffff:10.1.2.3]:80",
+];
+
+fn network(text: &str) -> ServerSelector {
+    ServerSelector::network(text.parse().unwrap())
+}
+
+fn add(name: &str) -> DirectoryChange {
+    DirectoryChange::AddService { name: name.into() }
+}
+
+fn remove(name: &str) -> DirectoryChange {
+    DirectoryChange::RemoveService { name: name.into() }
+}
+
+fn set_route(route: &str, service: &str) -> DirectoryChange {
+    DirectoryChange::SetRoute { route: route.into(), service: service.into() }
+}
+
+fn assign(servers: ServerSelector, service: &str) -> DirectoryChange {
+    DirectoryChange::Assign { servers, service: service.into() }
+}
+
+fn set_default(service: Option<&str>) -> DirectoryChange {
+    DirectoryChange::SetDefault { service: service.map(Into::into) }
+}
+
+/// The same directory in the plainest words: everything is walked, services are their names.
+#[derive(Clone, Default)]
+struct Model {
+    single: bool,
+    bounds: Option<DirectoryBounds>,
+    services: Vec<String>,
+    routes: BTreeMap<String, String>,
+    selectors: BTreeMap<ServerSelector, String>,
+    default: Option<String>,
+}
+
+impl Model {
+    fn new() -> Model {
+        Model { bounds: Some(BOUNDS), ..Model::default() }
+    }
+
+    fn has(&self, name: &str) -> bool {
+        self.services.iter().any(|held| held == name)
+    }
+
+    /// Is the change taken? It takes effect if so.
+    fn apply(&mut self, change: &DirectoryChange) -> bool {
+        let bounds = self.bounds.unwrap();
+        match change {
+            DirectoryChange::AddService { name } => {
+                let taken = !self.has(name) && self.services.len() < bounds.services;
+                if taken {
+                    self.services.push(name.to_string());
+                }
+                taken
+            }
+            DirectoryChange::RemoveService { name } => {
+                let named = |held: &String| **held == **name;
+                let used = self.routes.values().any(named)
+                    || self.selectors.values().any(named)
+                    || self.default.iter().any(named);
+                let taken = self.has(name) && !used;
+                self.services.retain(|held| !taken || **held != **name);
+                taken
+            }
+            DirectoryChange::SetRoute { route, service } => {
+                let room = self.routes.contains_key(&**route) || self.routes.len() < bounds.routes;
+                let taken = self.has(service) && room;
+                if taken {
+                    self.routes.insert(route.to_string(), service.to_string());
+                }
+                taken
+            }
+            DirectoryChange::RemoveRoute { route } => self.routes.remove(&**route).is_some(),
+            DirectoryChange::Assign { servers, service } => {
+                let taken = self.has(service);
+                if taken {
+                    self.selectors.insert(servers.clone(), service.to_string());
+                }
+                taken
+            }
+            DirectoryChange::Unassign { servers } => self.selectors.remove(servers).is_some(),
+            DirectoryChange::SetDefault { service } => {
+                let taken = service.as_ref().is_none_or(|name| self.has(name));
+                if taken {
+                    self.default = service.as_ref().map(|name| name.to_string());
+                }
+                taken
+            }
+            DirectoryChange::SetBounds(new) => {
+                let taken = self.services.len() <= new.services && self.routes.len() <= new.routes;
+                if taken {
+                    self.bounds = Some(*new);
+                }
+                taken
+            }
+            DirectoryChange::SetSingle(single) => {
+                self.single = *single;
+                true
+            }
+        }
+    }
+
+    fn server(&self, uid: &str, address: SocketAddr) -> Option<&String> {
+        let ip = address.ip().to_canonical();
+        let by_uid = self.selectors.get(&ServerSelector::uid(uid));
+        let holds = |selector: &ServerSelector| match selector {
+            ServerSelector::Network(network) if network.contains(&ip) => Some(network.prefix_len()),
+            _ => None,
+        };
+        let networks = self.selectors.iter().filter_map(|(s, name)| Some((holds(s)?, name)));
+        let by_network = networks.max_by_key(|(length, _)| *length).map(|(_, name)| name);
+        by_uid.or(by_network).or(self.default.as_ref())
+    }
+}
+
+/// Every answer of the directory is that of the model.
+fn compare(directory: &Directory, model: &Model) -> Result<(), TestCaseError> {
+    let mut names: Vec<&str> = directory.services().map(|(_, name)| name).collect();
+    let mut expected: Vec<&str> = model.services.iter().map(String::as_str).collect();
+    names.sort_unstable();
+    expected.sort_unstable();
+    prop_assert_eq!(names, expected);
+    prop_assert_eq!(directory.service_count(), model.services.len());
+    prop_assert_eq!(directory.route_count(), model.routes.len());
+    prop_assert_eq!(directory.selector_count(), model.selectors.len());
+    prop_assert_eq!(directory.is_single(), model.single);
+    for name in NAMES {
+        let id = directory.id(name);
+        prop_assert_eq!(id.is_some(), model.has(name));
+        prop_assert_eq!(id.and_then(|id| directory.name(id)), id.map(|_| name));
+        prop_assert_ne!(id, Some(SINGLE_SERVICE), "a named service is never the single one");
+    }
+    let expected = |name: Option<&String>| match model.single {
+        true => Some(SINGLE_SERVICE),
+        false => name.map(|name| directory.id(name).unwrap()),
+    };
+    for route in ROUTES {
+        prop_assert_eq!(directory.service_of_route(route), expected(model.routes.get(route)), "{}", route);
+    }
+    prop_assert_eq!(directory.default_service(), expected(model.default.as_ref()));
+    for uid in UIDS {
+        for address in ADDRESSES {
+            let address: SocketAddr = address.parse().unwrap();
+            let found = directory.service_of_server(uid, address);
+            prop_assert_eq!(found, expected(model.server(uid, address)), "{} at {}", uid, address);
+        }
+    }
+    Ok(())
+}
+
+/// What a caller is told to look at again covers each server whose service has changed.
+fn covers(effect: &DirectoryEffect, uid: &str, address: SocketAddr) -> bool {
+    match effect {
+        DirectoryEffect::Unchanged | DirectoryEffect::Added(_) | DirectoryEffect::Removed(_) => false,
+        DirectoryEffect::Reassigned(ServerSelector::Uid(moved)) => **moved == *uid,
+        DirectoryEffect::Reassigned(ServerSelector::Network(network)) => {
+            network.contains(&address.ip().to_canonical())
+        }
+        DirectoryEffect::DefaultReassigned | DirectoryEffect::AllReassigned => true,
+    }
+}
+
+fn placed(directory: &Directory) -> Vec<(&'static str, SocketAddr, Option<ServiceId>)> {
+    let mut placed = Vec::new();
+    for uid in UIDS {
+        for address in ADDRESSES {
+            let address = address.parse().unwrap();
+            placed.push((uid, address, directory.service_of_server(uid, address)));
+        }
+    }
+    placed
+}
+
+fn change() -> impl Strategy<Value = DirectoryChange> {
+    let name = || prop::sample::select(&NAMES[..]);
+    let route = || prop::sample::select(&ROUTES[..]);
+    let selector = || {
+        prop_oneof![
+            prop::sample::select(&NETWORKS[..]).prop_map(network),
+            prop::sample::select(&UIDS[..]).prop_map(ServerSelector::uid),
+        ]
+    };
+    prop_oneof![
+        4 => name().prop_map(add),
+        2 => name().prop_map(remove),
+        4 => (route(), name()).prop_map(|(route, name)| set_route(route, name)),
+        2 => route().prop_map(|route| DirectoryChange::RemoveRoute { route: route.into() }),
+        4 => (selector(), name()).prop_map(|(servers, name)| assign(servers, name)),
+        2 => selector().prop_map(|servers| DirectoryChange::Unassign { servers }),
+        1 => prop::option::of(name()).prop_map(set_default),
+        1 => (0..6usize, 0..8usize)
+            .prop_map(|(services, routes)| DirectoryChange::SetBounds(DirectoryBounds { services, routes })),
+        1 => any::<bool>().prop_map(DirectoryChange::SetSingle),
+    ]
+}
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig { cases, rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..Default::default() }
+}
+
+proptest! {
+    #![proptest_config(config(400))]
+
+    #[test]
+    fn any_changes_answer_as_the_naive_model_does(changes in prop::collection::vec(change(), 1..60)) {
+        let (mut directory, mut model) = (Directory::new(BOUNDS), Model::new());
+        let mut given: Vec<ServiceId> = Vec::new();
+        for change in changes {
+            let before = placed(&directory);
+            let taken = model.apply(&change);
+            match directory.apply(change.clone()) {
+                Ok(effect) => {
+                    prop_assert!(taken, "{:?} was taken", change);
+                    for ((uid, address, old), (_, _, new)) in before.into_iter().zip(placed(&directory)) {
+                        prop_assert!(old == new || covers(&effect, uid, address), "{:?}: {} {}", effect, uid, address);
+                    }
+                    if let DirectoryEffect::Added(id) = effect {
+                        prop_assert!(!given.contains(&id), "an id is never used again");
+                        given.push(id);
+                    }
+                }
+                Err(error) => prop_assert!(!taken, "{:?}: {}", change, error),
+            }
+            compare(&directory, &model)?;
+        }
+    }
+
+    #[test]
+    fn the_difference_of_two_directories_leads_from_one_to_the_other(
+        from in prop::collection::vec(change(), 0..60),
+        to in prop::collection::vec(change(), 0..60),
+    ) {
+        let build = |changes: Vec<DirectoryChange>| {
+            let (mut directory, mut model) = (Directory::new(BOUNDS), Model::new());
+            for change in changes {
+                model.apply(&change);
+                // One that the model refuses is refused here too, which the test above shows.
+                let _ = directory.apply(change);
+            }
+            (directory, model)
+        };
+        let ((mut directory, _), (new, model)) = (build(from), build(to));
+        let kept: Vec<_> = directory.services().map(|(id, name)| (id, name.to_owned())).collect();
+        for change in directory.difference(&new) {
+            let applied = directory.apply(change.clone());
+            prop_assert!(applied.is_ok(), "{:?}: {:?}", change, applied);
+        }
+        compare(&directory, &model)?;
+        prop_assert_eq!(directory.bounds(), new.bounds());
+        prop_assert!(directory.difference(&new).is_empty(), "nothing is left to change");
+        for (id, name) in kept.iter().filter(|(_, name)| new.id(name).is_some()) {
+            prop_assert_eq!(directory.id(name), Some(*id), "a service that stays keeps its id");
+        }
+    }
+}
+
+#[test]
+fn without_a_section_one_service_holds_everything() {
+    let directory = Directory::single();
+    let address = "10.0.0.1:80".parse().unwrap();
+    assert_eq!(directory.service_of_route("any"), Some(ServiceId(0)));
+    assert_eq!(directory.default_service(), Some(ServiceId(0)));
+    assert_eq!(directory.service_of_server("s-1", address), Some(ServiceId(0)));
+    assert_eq!((directory.service_count(), directory.capacity()), (0, 0), "nothing is held for it");
+}
+
+#[test]
+fn each_refusal_names_its_reason_and_changes_nothing() {
+    let mut directory = Directory::new(DirectoryBounds { services: 2, routes: 1 });
+    for change in [
+        add("forms"),
+        add("mail"),
+        set_route("a", "forms"),
+        assign(network("10.0.0.0/8"), "forms"),
+        set_default(Some("mail")),
+    ] {
+        directory.apply(change).unwrap();
+    }
+    let unknown = ServerSelector::uid("s-1");
+    for (change, reason) in [
+        (add("third"), "more than 2 services"),
+        (add("mail"), "there is a service 'mail' already"),
+        (remove("odd"), "there is no service 'odd'"),
+        (remove("forms"), "service 'forms' is in use: by 1 routes, by 1 lines of servers"),
+        (remove("mail"), "service 'mail' is in use: by 0 routes, by 0 lines of servers, as the default"),
+        (set_route("a", "odd"), "there is no service 'odd'"),
+        (set_route("b", "mail"), "more than 1 routes"),
+        (DirectoryChange::RemoveRoute { route: "b".into() }, "there is no route 'b'"),
+        (assign(unknown.clone(), "odd"), "there is no service 'odd'"),
+        (DirectoryChange::Unassign { servers: unknown }, "no service has a line for the servers 's-1'"),
+        (set_default(Some("odd")), "there is no service 'odd'"),
+        (DirectoryChange::SetBounds(DirectoryBounds { services: 1, routes: 9 }), "more than 1 services"),
+    ] {
+        let before = directory.clone();
+        assert_eq!(directory.apply(change).unwrap_err().to_string(), reason);
+        assert_eq!(directory.difference(&before), [], "{reason}");
+        assert_eq!(directory.bounds(), before.bounds());
+    }
+}
+
+#[test]
+fn what_stays_is_never_without_its_service_while_a_full_directory_is_exchanged() {
+    let build = |service: &str| {
+        let mut directory = Directory::new(DirectoryBounds { services: 1, routes: 1 });
+        let servers = assign(network("10.0.0.0/8"), service);
+        for change in [add(service), set_route("a", service), servers, set_default(Some(service))] {
+            directory.apply(change).unwrap();
+        }
+        directory
+    };
+    let (mut directory, new) = (build("old"), build("new"));
+    let address = "10.1.1.1:80".parse().unwrap();
+    for change in directory.difference(&new) {
+        directory.apply(change).unwrap();
+        assert!(directory.service_of_route("a").is_some());
+        assert!(directory.service_of_server("s-1", address).is_some());
+        assert!(directory.default_service().is_some());
+    }
+    assert_eq!(directory.id("old"), None);
+    assert_eq!(directory.bounds().services, 1);
+}
+
+#[test]
+fn a_churn_of_services_ends_with_the_memory_of_the_live_ones() {
+    const ROUNDS: u32 = 100_000;
+    const LIVE: u32 = 100;
+    let mut directory = Directory::new(DirectoryBounds { services: 60_000, routes: 60_000 });
+    let address = |n: u32| SocketAddr::from((n.to_be_bytes(), 80));
+    let selectors = |n: u32| {
+        let network = IpNet::from(address(n).ip());
+        [ServerSelector::network(network), ServerSelector::uid(&format!("s-{n}"))]
+    };
+    let come = |directory: &mut Directory, n: u32| {
+        let name = format!("service-{n}");
+        directory.apply(add(&name)).unwrap();
+        directory.apply(set_route(&name, &name)).unwrap();
+        for servers in selectors(n) {
+            directory.apply(assign(servers, &name)).unwrap();
+        }
+    };
+    let go = |directory: &mut Directory, n: u32| {
+        let name = format!("service-{n}");
+        directory.apply(DirectoryChange::RemoveRoute { route: name.as_str().into() }).unwrap();
+        for servers in selectors(n) {
+            directory.apply(DirectoryChange::Unassign { servers }).unwrap();
+        }
+        directory.apply(remove(&name)).unwrap();
+    };
+    // One after the other, and then half of them at once.
+    for n in 0..ROUNDS / 2 {
+        come(&mut directory, n);
+        if n >= LIVE {
+            go(&mut directory, n - LIVE);
+        }
+    }
+    for n in ROUNDS / 2..ROUNDS {
+        come(&mut directory, n);
+    }
+    let largest = directory.capacity();
+    for n in ROUNDS / 2 - LIVE..ROUNDS - LIVE {
+        go(&mut directory, n);
+    }
+    let counts = (directory.service_count(), directory.route_count(), directory.selector_count());
+    assert_eq!(counts, (LIVE as usize, LIVE as usize, 2 * LIVE as usize));
+    // Five tables, each with room for eight times what it holds at the most.
+    let room = directory.capacity();
+    assert!(room <= 5 * 8 * LIVE as usize, "room for {room} entries, {largest} at the most");
+    assert_eq!(directory.id("service-99999"), Some(ServiceId(ROUNDS)), "no id was used twice");
+    assert_eq!(directory.service_of_server("s-1", address(1)), None);
+}
+
+/// Median time of one call among many rounds.
+fn median(mut call: impl FnMut(usize)) -> Duration {
+    const ROUNDS: usize = 201;
+    const CALLS: usize = 50;
+    let mut times: Vec<Duration> = (0..ROUNDS)
+        .map(|round| {
+            let begun = Instant::now();
+            (0..CALLS).for_each(|n| call(round * CALLS + n));
+            begun.elapsed()
+        })
+        .collect();
+    times.sort_unstable();
+    times[ROUNDS / 2]
+}
+
+#[test]
+fn a_lookup_and_a_delta_cost_the_same_at_a_thousand_times_the_size() {
+    /// A walk would cost a thousand times as much; caches and a busy machine cost a few times as much.
+    const MOST: u32 = 20;
+    let measure = |size: usize| {
+        let mut directory = Directory::new(DirectoryBounds { services: size + 2, routes: 2 * size + 2 });
+        let name = |n: usize| format!("service-{n}");
+        let selector = |n: usize| ServerSelector::uid(&format!("s-{n}"));
+        for n in 0..size {
+            directory.apply(add(&name(n))).unwrap();
+            directory.apply(set_route(&name(n), &name(n))).unwrap();
+            directory.apply(assign(selector(n), &name(n))).unwrap();
+            let network = IpNet::from(std::net::IpAddr::from((n as u32).to_be_bytes()));
+            directory.apply(assign(ServerSelector::network(network), &name(n))).unwrap();
+        }
+        let names: Vec<String> = (0..size).map(name).collect();
+        let address: SocketAddr = "10.0.0.1:80".parse().unwrap();
+        let lookup = median(|n| {
+            let place = n * 7919 % size;
+            assert!(directory.service_of_route(&names[place]).is_some());
+            std::hint::black_box(directory.service_of_server("none", address));
+        });
+        let delta = median(|n| {
+            let (route, service) = (&names[n * 7919 % size], &names[n * 6007 % size]);
+            directory.apply(set_route(route, service)).unwrap();
+            directory.apply(assign(selector(n * 7919 % size), service)).unwrap();
+            directory.apply(add("one more")).unwrap();
+            directory.apply(remove("one more")).unwrap();
+        });
+        (lookup, delta)
+    };
+    let (small, large) = (measure(100), measure(100_000));
+    assert!(large.0 < small.0 * MOST, "a lookup: {:?} at 100, {:?} at 100,000", small.0, large.0);
+    assert!(large.1 < small.1 * MOST, "a delta: {:?} at 100, {:?} at 100,000", small.1, large.1);
+    println!("a lookup: {:?} -> {:?}, a delta: {:?} -> {:?}, each of 50", small.0, large.0, small.1, large.1);
+}
