--- /dev/null
+++ b/engine/tests/services.rs
@@ -0,0 +1,303 @@
+//! Services in the engine: routes and servers that move while requests are out, each at the cost of itself.
+
+use roseyard::*;
+use roseyard_engine::*;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+type Life = Engine<u64, (), u64>;
+
+const START: Duration = Duration::from_secs(86_400);
+const BOUNDS: DirectoryBounds = DirectoryBounds { services: 100_000, routes: 100_000 };
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn settings() -> Settings {
+    Settings {
+        gateways: 1,
+        number: 0,
+        zone: 0,
+        tick: ms(1),
+        classes: vec![Class {
+            aim: ms(1000),
+            aim_stretch: 0.0,
+            deadline: ms(4000),
+            worth: 1.0,
+            late_worth: 0.1,
+            effect: Effect::Unsafe,
+            streamed: false,
+        }],
+        plans: vec![Plan {
+            rate: 0.0,
+            burst: 0.0,
+            max_open: 0,
+            ceiling_rate: 0.0,
+            ceiling_burst: 0.0,
+            ceiling_slack: 0.0,
+            price: 1.0,
+            excess_worth: 0.0,
+            excess_cost: 1.0,
+        }],
+        counter: None,
+        reports_on_probe: false,
+        discovery: Discovery::Push,
+        limits: Limits {
+            max_attempts: 4,
+            cancel: true,
+            duplicates: false,
+            probes: false,
+            retry_advice: true,
+            max_retry_advice: ms(1000),
+        },
+        guarantees: Guarantees {
+            cold_share: 0.3,
+            warm_within: ms(10_000),
+            tip_multiple: 2.0,
+            tip_after: ms(2000),
+            drain_grace: ms(2000),
+        },
+    }
+}
+
+fn target(uid: &str, address: &str, state: &str) -> Target {
+    Target {
+        uid: uid.into(),
+        endpoint: address.into(),
+        az: String::new(),
+        pod_group: 0,
+        state: state.into(),
+        capacity_hint: 1.0,
+        boot_ms: 0.0,
+    }
+}
+
+fn list(rev: u64, all: bool, targets: Vec<Target>) -> List {
+    List { rev, all, targets, unreadable: 0 }
+}
+
+/// Two services, a network and a route for each.
+fn two_services() -> Directory {
+    let mut directory = Directory::new(BOUNDS);
+    for (service, network) in [("left", "10.1.0.0/16"), ("right", "10.2.0.0/16")] {
+        let name: Arc<str> = service.into();
+        directory.apply(DirectoryChange::AddService { name: Arc::clone(&name) }).unwrap();
+        let servers = ServerSelector::network(network.parse().unwrap());
+        directory.apply(DirectoryChange::Assign { servers, service: Arc::clone(&name) }).unwrap();
+        directory.apply(DirectoryChange::SetRoute { route: service.into(), service: name }).unwrap();
+    }
+    directory
+}
+
+struct World {
+    life: Life,
+    now: Duration,
+    next: u64,
+}
+
+impl World {
+    fn new(directory: &Directory, targets: Vec<Target>) -> World {
+        let mut life = Life::new(settings(), 5, Bounds { requests: 10_000, bytes: 1 << 20 }).unwrap();
+        life.set_directory(directory).unwrap();
+        let mut world = World { life, now: START, next: 0 };
+        world.told(&list(1, true, targets));
+        world
+    }
+
+    fn told(&mut self, list: &List) -> Vec<ServerId> {
+        let (stale, bad) = self.life.take_list(list, &[], |_| None);
+        assert_eq!(bad, 0);
+        assert_eq!(self.run(), None);
+        stale
+    }
+
+    /// Carries out what is there; the last request that is sent, with its server.
+    fn run(&mut self) -> Option<(Key, u16, ServerId)> {
+        let mut sent = None;
+        while let Some(output) = self.life.poll(self.now) {
+            if let Output::Send { request, attempt, server, .. } = output {
+                sent = Some((request, attempt, server));
+            }
+        }
+        sent
+    }
+
+    fn ask(&mut self, route: &str) -> Option<(Key, u16, ServerId)> {
+        self.next += 1;
+        let service = self.life.directory().service_of_route(route).expect("a route");
+        let ask = Ask {
+            owner: self.next,
+            service,
+            class: 0,
+            plan: 0,
+            customer: CustomerId(self.next),
+            units: 1.0,
+            spread: 1,
+            time_left: ms(3000),
+            retry: false,
+            command: (),
+            bytes: 1,
+        };
+        self.life.submit(ask).unwrap();
+        self.now += ms(20);
+        self.run()
+    }
+
+    fn address_of(&self, sent: Option<(Key, u16, ServerId)>) -> Option<String> {
+        sent.and_then(|(.., server)| self.life.address(server)).map(|address| address.to_string())
+    }
+
+    fn served(&mut self, (request, attempt, _): (Key, u16, ServerId)) -> bool {
+        let end = End { outcome: Outcome::Ok, value: Some(1), true_units: None, load: None };
+        self.life.ended(request, attempt, end, self.now);
+        let mut served = false;
+        while let Some(output) = self.life.poll(self.now) {
+            served |= matches!(output, Output::Answer { answer: Answer::Served(1), .. });
+        }
+        served
+    }
+}
+
+fn one_each() -> Vec<Target> {
+    vec![target("l", "10.1.0.1:80", "SERVING"), target("r", "10.2.0.1:80", "SERVING")]
+}
+
+#[test]
+fn a_route_leads_to_the_servers_of_its_service() {
+    let mut world = World::new(&two_services(), one_each());
+    for _ in 0..20 {
+        for (route, address) in [("left", "10.1.0.1:80"), ("right", "10.2.0.1:80")] {
+            let sent = world.ask(route);
+            assert_eq!(world.address_of(sent).as_deref(), Some(address));
+            assert!(world.served(sent.unwrap()));
+        }
+    }
+}
+
+#[test]
+fn a_route_that_moves_leaves_what_is_out_where_it_is() {
+    let mut world = World::new(&two_services(), one_each());
+    let out = world.ask("left").unwrap();
+    let moved = DirectoryChange::SetRoute { route: "left".into(), service: "right".into() };
+    world.life.change_directory(moved).unwrap();
+    assert!(world.life.may_write(out.0, out.1, world.now + ms(100), world.now), "it goes on");
+    let next = world.ask("left");
+    assert_eq!(world.address_of(next).as_deref(), Some("10.2.0.1:80"));
+    assert!(world.served(out), "answered once, and not sent again");
+}
+
+#[test]
+fn a_server_that_moves_serves_its_new_service_and_ends_what_it_has() {
+    let mut world = World::new(&two_services(), one_each());
+    let out = world.ask("left").unwrap();
+    let servers = ServerSelector::uid("l");
+    world.life.change_directory(DirectoryChange::Assign { servers, service: "right".into() }).unwrap();
+    assert_eq!(world.run(), None, "what is out is not sent again");
+    assert_eq!(world.ask("left"), None, "no server is left there");
+    let addresses: Vec<_> = (0..40)
+        .filter_map(|_| {
+            let sent = world.ask("right");
+            let address = world.address_of(sent);
+            sent.map(|sent| world.served(sent));
+            address
+        })
+        .collect();
+    assert!(addresses.iter().any(|a| a == "10.1.0.1:80"), "it serves the other service");
+    assert!(world.served(out));
+    // And back, by a whole directory that is read anew.
+    let changes = world.life.set_directory(&two_services()).unwrap();
+    assert_eq!(changes, 1, "one line differs");
+    let back = world.ask("left");
+    assert_eq!(world.address_of(back).as_deref(), Some("10.1.0.1:80"));
+}
+
+#[test]
+fn a_server_whose_address_changes_belongs_where_the_new_one_lies() {
+    let mut world = World::new(&two_services(), one_each());
+    let stale = world.told(&list(2, false, vec![target("l", "10.2.0.9:80", "SERVING")]));
+    assert_eq!(stale.len(), 1, "its connections led elsewhere");
+    assert_eq!(world.ask("left"), None);
+    world.told(&list(3, false, vec![target("r", "10.2.0.1:80", "DRAINING")]));
+    let sent = world.ask("right");
+    assert_eq!(world.address_of(sent).as_deref(), Some("10.2.0.9:80"));
+}
+
+#[test]
+fn a_server_of_no_service_gets_nothing_and_is_found_when_a_line_names_it() {
+    let mut world = World::new(&two_services(), vec![target("x", "10.9.0.1:80", "SERVING")]);
+    assert_eq!(world.ask("left"), None);
+    let servers = ServerSelector::network("10.9.0.0/24".parse().unwrap());
+    world.life.change_directory(DirectoryChange::Assign { servers, service: "left".into() }).unwrap();
+    let sent = world.ask("left");
+    assert_eq!(world.address_of(sent).as_deref(), Some("10.9.0.1:80"));
+}
+
+#[test]
+fn a_refused_change_leaves_everything_as_it_was() {
+    let mut world = World::new(&two_services(), one_each());
+    let wrong = DirectoryChange::SetRoute { route: "left".into(), service: "nowhere".into() };
+    let refused = world.life.change_directory(wrong);
+    assert_eq!(refused, Err(DirectoryError::UnknownService { name: "nowhere".into() }));
+    let sent = world.ask("left");
+    assert_eq!(world.address_of(sent).as_deref(), Some("10.1.0.1:80"));
+}
+
+/// A platform of so many services with ten servers each.
+fn platform(services: u32) -> World {
+    let mut directory = Directory::new(BOUNDS);
+    let mut targets = Vec::new();
+    for n in 0..services {
+        let name: Arc<str> = format!("service-{n}").into();
+        let network = format!("10.{}.{}.0/24", n / 256, n % 256);
+        directory.apply(DirectoryChange::AddService { name: Arc::clone(&name) }).unwrap();
+        let servers = ServerSelector::network(network.parse().unwrap());
+        directory.apply(DirectoryChange::Assign { servers, service: Arc::clone(&name) }).unwrap();
+        directory.apply(DirectoryChange::SetRoute { route: Arc::clone(&name), service: name }).unwrap();
+        for host in 1..=10 {
+            let address = format!("10.{}.{}.{host}:80", n / 256, n % 256);
+            targets.push(target(&format!("s-{n}-{host}"), &address, "SERVING"));
+        }
+    }
+    World::new(&directory, targets)
+}
+
+/// The least time of a few runs: what else the machine does only adds to it.
+fn least(mut run: impl FnMut()) -> Duration {
+    let once = |run: &mut dyn FnMut()| {
+        let begun = Instant::now();
+        run();
+        begun.elapsed()
+    };
+    (0..7).map(|_| once(&mut run)).min().unwrap_or_default()
+}
+
+#[test]
+fn a_request_and_a_change_cost_the_same_at_thirty_times_the_servers() {
+    let costs = [100, 3000].map(|services| {
+        let mut world = platform(services);
+        let mut revision = 1;
+        let requests = least(|| {
+            for n in 0..100 {
+                let sent = world.ask(&format!("service-{n}")).expect("sent");
+                assert!(world.served(sent));
+            }
+        });
+        let changes = least(|| {
+            for n in 0..100 {
+                revision += 1;
+                let state = if revision % 2 == 0 { "DRAINING" } else { "SERVING" };
+                world.told(&list(
+                    revision,
+                    false,
+                    vec![target(&format!("s-{n}-1"), &format!("10.0.{n}.1:80"), state)],
+                ));
+            }
+        });
+        (requests, changes)
+    });
+    let [(request_small, change_small), (request_large, change_large)] = costs;
+    // A walk over all servers would be thirty times as much; the bound leaves room for misses of the cache.
+    assert!(request_large < request_small * 6, "requests: {request_small:?}, {request_large:?}");
+    assert!(change_large < change_small * 6, "changes: {change_small:?}, {change_large:?}");
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -34,6 +34,13 @@
     due: Option<Duration>,
 }
 
+impl Scheduled {
+    /// Has it neither servers nor requests?
+    fn is_unused(&self) -> bool {
+        self.service.servers.is_empty() && self.service.requests.is_empty()
+    }
+}
+
 /// One gateway's decisions. Feed it events, carry out its actions.
 pub struct Gateway {
     settings: Arc<Settings>,
@@ -184,11 +191,14 @@
     }
 
     fn drop_unused(&mut self, id: ServiceId) {
-        let unused = |service: &Service| service.servers.is_empty() && service.requests.is_empty();
-        if self.services.get(&id).is_some_and(|scheduled| unused(&scheduled.service)) {
-            if let Some(due) = self.services.remove(&id).and_then(|scheduled| scheduled.due) {
-                self.due.remove(&(due, id));
-            }
+        if self.services.get(&id).is_some_and(Scheduled::is_unused) {
+            self.drop_service(id);
+        }
+    }
+
+    fn drop_service(&mut self, id: ServiceId) {
+        if let Some(due) = self.services.remove(&id).and_then(|scheduled| scheduled.due) {
+            self.due.remove(&(due, id));
         }
     }
 
@@ -215,11 +225,12 @@
             }
             self.due.extend(due.map(|at| (at, id)));
         }
-        if !self.over.is_empty() {
-            for request in self.over.drain(..) {
-                self.requests.remove(&request);
-            }
-            self.drop_unused(id);
+        let unused = scheduled.is_unused();
+        for request in self.over.drain(..) {
+            self.requests.remove(&request);
+        }
+        if unused {
+            self.drop_service(id);
         }
     }
 
