--- a/src/choice.rs
+++ b/src/choice.rs
@@ -180,7 +180,7 @@
         (FAULT_VISITS * self.span() * servers / f64::max(sends, 1.0)).clamp(FAULT_TAU, FORGET_AFTER)
     }
 
-    /// Which part of each server lies in this gateway's aperture. A change of the list alone costs nothing here.
+    /// Which part of each server lies in this gateway's aperture: laid at the first choice after a change.
     fn lay_ring(&mut self) {
         if !std::mem::take(&mut self.ring_changed) {
             return;
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -1,4 +1,4 @@
-//! Customers' quotas, over all gateways and services: what may pass, by the counter's totals and without them.
+//! Customers' quotas, over all gateways and services: what may pass, with the counter's totals and without.
 
 use crate::alarms::{dur, secs};
 use crate::interface::*;
@@ -282,8 +282,7 @@
         room
     }
 
-    /// A call has ended. Hands back its request where that is still to be decided, and whether a total says that
-    /// there is room.
+    /// A call has ended. Hands back its request where that is still to be decided, with what the total says.
     pub fn on_counted(&mut self, name: CountName, result: CountResult, t: f64) -> Option<Counted> {
         let ledger = self.ledgers.get_mut(CustomerId(name.0))?;
         let Call { request, add, counted, decided } = ledger.calls.pop_front()?;
--- a/src/service.rs
+++ b/src/service.rs
@@ -82,7 +82,7 @@
 /// What the answers of a service tell, and the budgets that requests earn for further attempts and probes.
 #[derive(Default)]
 pub(crate) struct Flow {
-    pub rate: f64, // Aims answered a second (each answer counts its class's aim), the remembered peak, and when.
+    pub rate: f64, // Aims answered a second (each answer counts its class's), the peak remembered, and when.
     pub peak: f64,
     pub at: f64,
     pub lateness: f64, // Mean answer time as a share of the aim, and when last told.
