Ingress: a request's route names its service

The configured field's value is read once, bounded, and looked up in the engine's directory; an unknown or missing route is refused before anything is counted. Start and SIGHUP pass the file's directory on.

--- a/engine/src/directory.rs
+++ b/engine/src/directory.rs
@@ -137,7 +137,7 @@
         name: Arc<str>,
     },
     /// A service that is still named.
-    #[error("service '{name}' is in use: by {routes} routes, by {servers} lines of servers{}", if *.default { ", as the default" } else { "" })]
+    #[error("service '{name}' is in use: by {routes} routes, by {servers} networks, addresses or uids of servers{}", if *.default { ", as the default" } else { "" })]
     ServiceInUse {
         /// Its name.
         name: Arc<str>,
--- a/ingress/src/program/cli.rs
+++ b/ingress/src/program/cli.rs
@@ -3,7 +3,7 @@
 use super::config::Config;
 use clap::{Parser, Subcommand, ValueEnum};
 use roseyard_operator::log::{self, Form};
-use roseyard_operator::{Effective, File, Machine, Row};
+use roseyard_operator::{Effective, File, Machine, Mistakes, Row};
 use std::path::{Path, PathBuf};
 
 /// Shared quotas, routing and repeated attempts for services sold by plan.
@@ -99,13 +99,14 @@
             Ok(())
         }
         Some(Command::Check { file, machine }) => {
-            let rows = checked(Some(&file), &machine.machine())?;
+            let (checked, rows) = checked(Some(&file), &machine.machine())?;
             println!("{}: in order, {} settings hold", file.display(), rows.len());
+            println!("{}", checked.services());
             Ok(())
         }
         Some(Command::Explain { file, machine }) => {
             let machine = machine.machine();
-            print!("{}", table(&checked(file.as_deref(), &machine)?));
+            print!("{}", table(&checked(file.as_deref(), &machine)?.1));
             println!(
                 "sockets of the platform {}, allowed by the system {}",
                 machine.sockets, machine.allowed
@@ -115,11 +116,13 @@
     }
 }
 
-/// The settings of a file, or its mistakes drawn with their lines.
-fn checked(path: Option<&Path>, machine: &Machine) -> Result<Vec<Row>, String> {
-    let Some(path) = path else { return File::none().explain(machine).map_err(|e| e.report()) };
-    let rows = File::load(path)?.and_then(|file| file.explain(machine));
-    rows.map_err(|wrong| format!("{}: {} mistakes\n{}", path.display(), wrong.iter().count(), wrong.report()))
+/// A file and its settings, or its mistakes drawn with their lines.
+fn checked(path: Option<&Path>, machine: &Machine) -> Result<(File, Vec<Row>), String> {
+    let named = path.map_or_else(|| "defaults".to_owned(), |path| path.display().to_string());
+    let said = |wrong: Mistakes| format!("{named}: {} mistakes\n{}", wrong.iter().count(), wrong.report());
+    let file = path.map_or_else(|| Ok(Ok(File::none())), File::load)?.map_err(said)?;
+    let rows = file.explain(machine).map_err(said)?;
+    Ok((file, rows))
 }
 
 fn table(rows: &[Row]) -> String {
--- a/ingress/src/program/mod.rs
+++ b/ingress/src/program/mod.rs
@@ -147,7 +147,8 @@
             Io { poller, deadlines: Deadlines::default(), now: clock.now(), budget, spare: spare(), limits };
         let listener = take_address(&config.listen, &limits)?;
         let settings = options.settings()?;
-        let terms = Terms::new(options, &settings, &limits);
+        let services = file.services();
+        let terms = Terms::new(options, &settings, &limits, services.route_field());
         let Effective { policy, standing, membership, .. } = operator;
         // What others choose must not collide in tables: mixed so that the module's numbers tell nothing of it.
         let secret = config.seed.rotate_left(23) ^ 0x61c8_8646_80b5_83eb;
@@ -158,6 +159,7 @@
             settings,
             seed: config.seed,
             zones: options.zone_names().to_vec(),
+            directory: services.directory().clone(),
             clock,
             discovery: config.discovery,
             counter: config.counter,
@@ -211,16 +213,16 @@
     }
 
     /// Configuration and operator's file were read again: discovery and counter move to their addresses at once,
-    /// admission goes by the file, all else stays as it was started. If either cannot be read or does not fit,
+    /// admission, services and routes go by the file, all else stays as it was started. If either cannot be read or does not fit,
     /// neither changes anything.
     pub fn reload(&mut self, read: Result<(Config, File), String>) {
         let fits = |(config, file): (Config, File)| {
             let operator = file.effective(&self.machine).map_err(|e| e.to_string())?;
-            Ok::<_, String>((config, operator))
+            Ok::<_, String>((config, operator, file))
         };
         let io = &mut self.io;
         match read.and_then(fits) {
-            Ok((config, operator)) => {
+            Ok((config, operator, file)) => {
                 // The shares fit: they were held against the total just now.
                 if let Err(e) = io.budget.set(operator.sockets, operator.shares) {
                     tracing::warn!(event = "reload.descriptors", "reload: {e}");
@@ -231,6 +233,8 @@
                 if let Some(members) = &mut self.members {
                     members.set(&operator.membership);
                 }
+                self.front.set_route_field(file.services().route_field());
+                self.core.set_directory(file.services().directory());
                 let counter = config.counter.map_or_else(|| "none".to_owned(), |c| c.to_string());
                 let discovery = config.discovery;
                 tracing::info!(
--- a/ingress/src/protocol/command.rs
+++ b/ingress/src/protocol/command.rs
@@ -25,10 +25,15 @@
     pub key: Option<u64>,
     /// The client says that it asks again.
     pub retry: bool,
+    /// Its route, where one is read.
+    pub route: Option<&'a str>,
     /// Where the value of `d` stands in the list of names and values.
     deadline: (usize, usize),
 }
 
+/// Longest route of a request, in bytes.
+const MOST_ROUTE_BYTES: usize = 128;
+
 /// What is wrong with a request; framing is intact.
 pub type Wrong = &'static str;
 
@@ -65,8 +70,8 @@
     Ok(())
 }
 
-/// Reads a request's words.
-pub fn request<'a>(words: &[&'a [u8]]) -> Result<Request<'a>, Wrong> {
+/// Reads a request's words; `route_field` is the name whose value is the request's route, as it stands.
+pub fn request<'a>(words: &[&'a [u8]], route_field: Option<&str>) -> Result<Request<'a>, Wrong> {
     let (4 | 5, [_, customer, id, list, ..]) = (words.len(), words) else {
         return Err("wrong number of arguments");
     };
@@ -75,10 +80,15 @@
     let list = std::str::from_utf8(list).map_err(|_| "invalid list of names and values")?;
     let (mut class, mut plan, mut wait, mut units) = (None, None, None, None);
     let (mut spread, mut first, mut key, mut again) = (None, None, None, None);
+    let mut route = None;
     let mut at = 0;
     for item in list.split(',') {
         let (name, value) = item.split_once('=').ok_or("expected name=value")?;
         let whole = || value.parse::<u32>().ok().filter(|_| value.bytes().all(|b| b.is_ascii_digit()));
+        if route_field == Some(name) {
+            let bounded = (1..=MOST_ROUTE_BYTES).contains(&value.len());
+            put(&mut route, Some(value).filter(|_| bounded), "invalid route")?;
+        }
         match name {
             "c" => put(&mut class, Some(value), "invalid c")?,
             "t" => put(&mut plan, Some(value), "invalid t")?,
@@ -107,6 +117,7 @@
         first: first.ok_or("first is missing")?,
         key,
         retry: again == Some(1),
+        route,
         deadline,
     })
 }
--- a/ingress/src/routing/core.rs
+++ b/ingress/src/routing/core.rs
@@ -9,7 +9,7 @@
 use crate::protocol::list::List;
 use crate::transport::{Key, Slots};
 use roseyard::*;
-use roseyard_engine::{Bounds, Engine, Output};
+use roseyard_engine::{Bounds, Directory, Engine, Output};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -31,6 +31,8 @@
     pub seed: u64,
     /// Names of the zones.
     pub zones: Vec<String>,
+    /// Services with their routes and servers.
+    pub directory: Directory,
     /// The clock.
     pub clock: Clock,
     /// Discovery's address.
@@ -93,6 +95,8 @@
             clock: start.clock,
             timer: None,
         };
+        // Before the list: each server is put into its service at once.
+        core.set_directory(&start.directory);
         core.take_list(known, io);
         core.watch_open(io);
         core.run(io);
@@ -117,6 +121,33 @@
         }
     }
 
+    /// Services with their routes and servers.
+    pub fn directory(&self) -> &Directory {
+        self.life.directory()
+    }
+
+    /// Another directory is in force from now on. Requests that are out keep the service and server that they have.
+    pub fn set_directory(&mut self, directory: &Directory) {
+        let changes = match self.life.set_directory(directory) {
+            Ok(0) => return,
+            Ok(changes) => changes,
+            Err(why) => {
+                // What the file's checks have passed fits; what was changed before it holds.
+                tracing::warn!(event = "services.refused", %why, "services: a change was refused: {why}");
+                return;
+            }
+        };
+        let directory = self.life.directory();
+        let (services, routes) = (directory.service_count(), directory.route_count());
+        tracing::info!(
+            event = "services",
+            services,
+            routes,
+            changes,
+            "services: {services} services, {routes} routes, {changes} changes"
+        );
+    }
+
     /// Every request gets its final answer now, and none is taken in any more.
     pub fn stop(&mut self) {
         self.life.stop();
--- a/ingress/src/routing/front.rs
+++ b/ingress/src/routing/front.rs
@@ -9,6 +9,7 @@
 use crate::transport::{spare, Fill, Key, Ready, Slots, Stream};
 use roseyard::{Class, CustomerId, Effect, Settings};
 use roseyard_admission::{Action, Event, Gate, Policy, Standing, Use};
+use roseyard_engine::Directory;
 use roseyard_settings::Options;
 use rustix::fd::OwnedFd;
 use std::collections::{HashSet, VecDeque};
@@ -150,6 +151,8 @@
     pub ingresses: u32,
     /// Most units of a request.
     pub units: f64,
+    /// The name in a request's list of names and values that carries its route; none: requests have no route.
+    pub route_field: Option<String>,
 }
 
 /// What is asked of a class's requests.
@@ -164,7 +167,7 @@
 
 impl Terms {
     /// The terms of these settings.
-    pub fn new(options: &Options, settings: &Settings, limits: &Limits) -> Terms {
+    pub fn new(options: &Options, settings: &Settings, limits: &Limits, route_field: Option<&str>) -> Terms {
         let class = |(name, class): (&str, &Class)| ClassTerms {
             name: name.to_owned(),
             safe: class.effect == Effect::Safe,
@@ -175,6 +178,7 @@
             plans: options.plan_names().into_iter().map(str::to_owned).collect(),
             ingresses: settings.gateways.max(1),
             units: limits.units,
+            route_field: route_field.map(str::to_owned),
         }
     }
 }
@@ -270,6 +274,11 @@
         })
     }
 
+    /// Requests carry their route in this field from now on.
+    pub fn set_route_field(&mut self, field: Option<&str>) {
+        self.terms.route_field = field.map(str::to_owned);
+    }
+
     /// Where it listens.
     pub fn address(&self) -> Option<SocketAddr> {
         self.doors.address()
@@ -551,7 +560,16 @@
                 Ok(None) => break,
                 Ok(Some((words, used))) => {
                     let number = client.first + client.pending.len() as u64;
-                    (Ok(read_command(words.get(), (key, number), &self.terms, self.ready)), used)
+                    (
+                        Ok(read_command(
+                            words.get(),
+                            (key, number),
+                            &self.terms,
+                            core.directory(),
+                            self.ready,
+                        )),
+                        used,
+                    )
                 }
                 Err(wrong) => (Err(wrong), 0),
             };
@@ -742,10 +760,16 @@
     }
 }
 
-fn read_command(words: &[&[u8]], owner: (Key, u64), terms: &Terms, ready: bool) -> Command {
+fn read_command(
+    words: &[&[u8]],
+    owner: (Key, u64),
+    terms: &Terms,
+    directory: &Directory,
+    ready: bool,
+) -> Command {
     let Some(name) = words.first() else { return Command::Wrong("empty command") };
     if command::is_request(name) {
-        return match request(words, owner, terms) {
+        return match request(words, owner, terms, directory) {
             Ok((ask, id)) => Command::Request(ask, id),
             Err(wrong) => Command::Wrong(wrong),
         };
@@ -764,8 +788,13 @@
 
 /// Holds a request against what the settings know. Guards against figures that would spoil a usual customer's
 /// count, and against passing on what no server takes.
-fn request(words: &[&[u8]], owner: (Key, u64), terms: &Terms) -> Result<(Ask, u64), &'static str> {
-    let r = command::request(words)?;
+fn request(
+    words: &[&[u8]],
+    owner: (Key, u64),
+    terms: &Terms,
+    directory: &Directory,
+) -> Result<(Ask, u64), &'static str> {
+    let r = command::request(words, terms.route_field.as_deref())?;
     let class = terms.classes.iter().position(|c| c.name == r.class).ok_or("unknown class")?;
     let plan = terms.plans.iter().position(|p| p == r.plan).ok_or("unknown plan")?;
     let wanted = &terms.classes[class];
@@ -784,9 +813,13 @@
     if r.wait_ms <= 0.0 {
         return Err("d out of range");
     }
+    let service = match r.route {
+        Some(route) => directory.service_of_route(route).ok_or("unknown route")?,
+        None => directory.default_service().ok_or("route is missing")?,
+    };
     let command = Held::new(words, &r);
     let ask = Ask {
-        service: roseyard::ServiceId::default(),
+        service,
         bytes: command.len(),
         owner,
         class,
--- a/ingress/tests/properties.rs
+++ b/ingress/tests/properties.rs
@@ -145,7 +145,7 @@
         let sent = [vec![b"API.WRITE".to_vec(), customer, id, list(&said.to_string())], Vec::from_iter(body)];
         let mut sent = sent.concat();
         let words: Vec<&[u8]> = sent.iter().map(Vec::as_slice).collect();
-        let request = command::request(&words).unwrap();
+        let request = command::request(&words, None).unwrap();
         prop_assert_eq!((request.customer, request.wait_ms), (0xb4d6_5521, f64::from(said)));
         let mut bytes = Vec::new();
         Held::new(&words, &request).put(wait, &mut bytes);
--- a/operator/src/services.rs
+++ b/operator/src/services.rs
@@ -8,6 +8,7 @@
 use miette::{NamedSource, SourceSpan};
 use roseyard_engine::{Directory, DirectoryBounds, DirectoryChange, DirectoryError, ServerSelector};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::fmt;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
@@ -82,7 +83,10 @@
             ),
             row(
                 LINES[3],
-                format!("{}, {selectors} lines of servers", directory.service_count()),
+                format!(
+                    "{} with {selectors} networks, addresses or uids of servers",
+                    directory.service_count()
+                ),
                 "services, and the networks, addresses and uids of their servers",
                 "service NAME { servers … }".into(),
             ),
@@ -96,6 +100,18 @@
     }
 }
 
+impl fmt::Display for Services {
+    /// Their numbers, on one line.
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        if self.directory.is_single() {
+            return f.write_str("services: none given, one service holds everything");
+        }
+        let (services, routes) = (self.directory.service_count(), self.directory.route_count());
+        let selectors = self.directory.selector_count();
+        write!(f, "services: {services} services, {routes} routes, {selectors} networks, addresses or uids of servers")
+    }
+}
+
 fn field_allowed() -> String {
     format!("1 to {MOST_FIELD_BYTES} letters, digits, '.', '-' or '_'")
 }
--- a/operator/tests/services.rs
+++ b/operator/tests/services.rs
@@ -59,6 +59,13 @@
     }
 }
 
+#[test]
+fn their_numbers_are_told_on_one_line() {
+    let shown = |text| File::parse("f", text).unwrap().services().to_string();
+    assert_eq!(shown(TEXT), "services: 2 services, 2 routes, 5 networks, addresses or uids of servers");
+    assert_eq!(shown(""), "services: none given, one service holds everything");
+}
+
 #[test]
 fn explain_tells_their_number_not_each_of_them() {
     let rows = File::parse("f", TEXT).unwrap().explain(&MACHINE).unwrap();
@@ -70,7 +77,7 @@
             ("services.route-field", "\"route\"", "f:2"),
             ("services.most", "16", "f:3"),
             ("services.default", "\"forms\"", "f:4"),
-            ("services.service", "2, 5 lines of servers", "f:5"),
+            ("services.service", "2 with 5 networks, addresses or uids of servers", "f:5"),
             ("services.route", "2", "f:10"),
         ]
     );
