See the end of a client whose commands are paused behind all that it has sent

Cause: with 1024 commands waiting on a connection the ingress stopped reading; a client that had sent more than the system's buffers take in and closed was not seen to leave, as its end stands behind those bytes, and further attempts were begun for it. Change: up to 512 KB more are read (not parsed) while commands wait, counted with what clients hold.

--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -27,6 +27,8 @@
     pub chunk_bytes: usize,
     /// Answers that a client may leave unread before its requests are.
     pub unread_bytes: usize,
+    /// Of a client whose commands wait, as many as may, so many bytes more are read: its end stands behind them.
+    pub ahead_bytes: usize,
     /// What clients' connections hold together, parts of commands and unread answers; over it the one that
     /// holds most is dropped.
     pub client_bytes: usize,
@@ -143,6 +145,7 @@
             list_bytes: 4 << 20,
             chunk_bytes: 2 << 10,
             unread_bytes: 256 << 10,
+            ahead_bytes: 512 << 10,
             client_bytes: memory / 8,
             round_commands: 64,
             round_accepts: 64,
--- a/ingress/src/routing/front.rs
+++ b/ingress/src/routing/front.rs
@@ -484,11 +484,7 @@
         let behind = client.stream.unwritten() > io.limits.unread_bytes;
         client.blocked = behind || client.pending.len() >= io.limits.pipelined;
         if client.blocked {
-            // Guards against requests that are sent on for a client that has left while its reading was paused.
-            if client.hup {
-                self.gone(key, false, core, io);
-            }
-            return;
+            return self.read_ahead(key, behind, core, io);
         }
         client.used = io.now;
         let filled = client.stream.fill(most, io.limits.chunk_bytes, client.hup);
@@ -519,6 +515,21 @@
         self.arm(key, io);
     }
 
+    /// Commands are not taken in for now, but the client's end must be seen: guards against requests that are sent on
+    /// for a client that has left meanwhile. The end of one that reads its answers stands behind all that it has sent;
+    /// one that does not read them resets its connection.
+    fn read_ahead(&mut self, key: Key, unread_answers: bool, core: &mut Core, io: &mut Io) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        if !unread_answers {
+            let filled = client.stream.fill(io.limits.ahead_bytes, io.limits.chunk_bytes, client.hup);
+            client.hup |= matches!(filled, Fill::Ended | Fill::Broken);
+        }
+        if client.hup {
+            return self.gone(key, false, core, io);
+        }
+        self.account(key, core, io);
+    }
+
     /// What still comes is not read as commands and not held, but an end must be seen.
     fn discard(&mut self, key: Key, core: &mut Core, io: &mut Io) {
         let Some(client) = self.clients.get_mut(key) else { return };
--- a/ingress/tests/common/mod.rs
+++ b/ingress/tests/common/mod.rs
@@ -518,3 +518,52 @@
         });
     }
 }
+
+/// The head of a watch.
+pub const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// A chunk of a watch.
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// A list as discovery words it, with these entries.
+pub fn list(rev: u64, all: bool, targets: &[String]) -> String {
+    format!("{{\"rev\":{rev},\"all\":{all},\"targets\":[{}]}}\n", targets.join(","))
+}
+
+/// Reads of this customer.
+pub fn load_of(customer: u64, id: u64) -> Vec<u8> {
+    request_of(customer, "API.READ", id, LOAD)
+}
+
+/// Serves one request of this client to the end.
+pub fn serve(site: &mut Site, client: &mut End, command: Vec<u8>) {
+    client.send(command);
+    let (s, c, _) = site.arrival();
+    site.servers[s].ends[c].send(served("v"));
+    site.expect(client, "$1\r\nv\r\n");
+}
+
+/// The only client leaves, and the ingress has seen it.
+pub fn leaves(site: &mut Site, client: End) {
+    drop(client);
+    site.until("the client has gone", |s| s.program.open().2 == 0);
+}
+
+/// Has the counter calls that it has not answered?
+pub fn counter_waits(site: &Site) -> bool {
+    site.counter.party.ends.iter().any(|e| !e.input.is_empty())
+}
+
+/// No server is sent anything for the next half second.
+pub fn nothing_is_sent_on(site: &mut Site, what: &str) {
+    for _ in 0..10 {
+        site.advance(50);
+        for _ in 0..3 {
+            site.round();
+        }
+        let sent = site.servers.iter_mut().find_map(Party::command);
+        assert_eq!(sent, None, "{what}: sent on for a client that has left");
+    }
+}
--- a/ingress/tests/crossings.rs
+++ b/ingress/tests/crossings.rs
@@ -6,49 +6,6 @@
 use common::*;
 use std::time::Duration;
 
-const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-/// A chunk of a watch.
-fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
-
-/// A list as discovery words it, with these entries.
-fn list(rev: u64, all: bool, targets: &[String]) -> String {
-    format!("{{\"rev\":{rev},\"all\":{all},\"targets\":[{}]}}\n", targets.join(","))
-}
-
-/// Reads of this customer.
-fn load_of(customer: u64, id: u64) -> Vec<u8> {
-    request_of(customer, "API.READ", id, LOAD)
-}
-
-/// No server is sent anything for the next half second.
-fn nothing_is_sent_on(site: &mut Site, what: &str) {
-    for _ in 0..10 {
-        site.advance(50);
-        for _ in 0..3 {
-            site.round();
-        }
-        let sent = site.servers.iter_mut().find_map(Party::command);
-        assert_eq!(sent, None, "{what}: sent on for a client that has left");
-    }
-}
-
-/// Serves one request of this client to the end.
-fn serve(site: &mut Site, client: &mut End, command: Vec<u8>) {
-    client.send(command);
-    let (s, c, _) = site.arrival();
-    site.servers[s].ends[c].send(served("v"));
-    site.expect(client, "$1\r\nv\r\n");
-}
-
-/// The only client leaves, and the ingress has seen it.
-fn leaves(site: &mut Site, client: End) {
-    drop(client);
-    site.until("the client has gone", |s| s.program.open().2 == 0);
-}
-
 /// Another client's request of the same customer is served, and the count is this with it.
 fn counted_with_the_next(site: &mut Site, total: f64, what: &str) {
     let mut other = site.client();
@@ -56,10 +13,6 @@
     assert_eq!(site.counter.totals["00000000b4d65521"], total, "{what}");
 }
 
-fn counter_waits(site: &Site) -> bool {
-    site.counter.party.ends.iter().any(|e| !e.input.is_empty())
-}
-
 // A client that leaves while its request waits.
 
 #[test]
