Tests: a change is held 6 s after discovery could be reached, whatever failed before

Eight faults of calls to discovery under four modes, with the watch silent before, SIGHUP in between and several addresses.

--- a/ingress/tests/terms.rs
+++ b/ingress/tests/terms.rs
@@ -5,6 +5,7 @@
 mod common;
 
 use common::*;
+use std::time::Duration;
 
 // Term 2: a client that closes or cancels has gone.
 
@@ -198,3 +199,239 @@
 fn a_client_that_leaves_without_reading_its_answers_has_no_further_attempt_begun() {
     no_attempt_begins_after_leaving(Awaited::Refusal, Connection::PausedByAnswers);
 }
+
+// Term 1: a change counts as told 6 s after discovery had it and could be reached.
+
+/// What becomes of calls to discovery.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    Refuses,
+    /// Connections never come up.
+    Hangs,
+    Silent,
+    /// The head of an answer, and nothing behind it.
+    HeadOnly,
+    /// Half of a list, and nothing behind it.
+    HalfList,
+    Resets,
+    TurnsAway,
+    /// The watch ends instead of telling.
+    EndsAtOnce,
+}
+
+const FAULTS: [Fault; 8] = [
+    Fault::Refuses,
+    Fault::Hangs,
+    Fault::Silent,
+    Fault::HeadOnly,
+    Fault::HalfList,
+    Fault::Resets,
+    Fault::TurnsAway,
+    Fault::EndsAtOnce,
+];
+
+/// A change counts as told so long after discovery had it and could be reached, ...
+const TOLD: Duration = Duration::from_secs(6);
+/// ... and so long after SIGHUP where the new place has it by then.
+const TOLD_AFTER_RELOAD: Duration = Duration::from_secs(4);
+const STEP_MS: u64 = 50;
+
+/// What an ingress is started with.
+#[derive(Clone, Copy, Debug)]
+struct Mode {
+    /// Are lists pushed, or asked for by calls that may wait?
+    pushed: bool,
+    ingresses: u32,
+    /// Milliseconds in which sends have to end after a drain was told.
+    grace: u64,
+}
+
+const MODES: [Mode; 4] = [
+    Mode { pushed: true, ingresses: 1, grace: 2000 },
+    Mode { pushed: true, ingresses: 300, grace: 500 },
+    Mode { pushed: false, ingresses: 300, grace: 2000 },
+    Mode { pushed: false, ingresses: 300, grace: 0 },
+];
+
+/// A site whose discovery has a change to tell, once it may.
+struct Telling {
+    site: Site,
+    mode: Mode,
+    /// Connections to discovery that have had what is meant for them.
+    seen: usize,
+}
+
+impl Telling {
+    fn new(mode: Mode) -> Telling {
+        let mut site = Site::new(2);
+        let ingresses = format!("\"Balancers\":{},", mode.ingresses);
+        let discovery =
+            if mode.pushed { "\"Discovery\":\"automatic\"" } else { "\"Discovery\":\"subscribe\"" };
+        let words = [("\"Balancers\":1,", &*ingresses), ("\"Discovery\":\"automatic\"", discovery)];
+        site.start_with_grace(mode.grace, &words);
+        site.talks = false;
+        let seen = site.discovery.ends.len();
+        Telling { site, mode, seen }
+    }
+
+    fn news(&self) -> String {
+        list(42, false, &[target(0, self.site.servers[0].address, "DRAINING")])
+    }
+
+    /// From now on this is what becomes of calls; the watch that is open falls silent, or breaks.
+    fn fail(&mut self, fault: Fault) {
+        match fault {
+            Fault::Refuses => self.site.discovery.die(),
+            Fault::Hangs => self.site.discovery.fill_up(),
+            Fault::Silent | Fault::HeadOnly | Fault::HalfList => {}
+            Fault::Resets | Fault::TurnsAway | Fault::EndsAtOnce => {
+                self.site.discovery.ends.iter_mut().for_each(End::hang_up);
+            }
+        }
+        self.seen = self.site.discovery.ends.len();
+    }
+
+    /// Calls from now on find a discovery that can be reached; those from before are never answered.
+    fn recover(&mut self, fault: Fault) {
+        match fault {
+            Fault::Refuses => self.site.discovery.revive(),
+            Fault::Hangs => {
+                self.site.discovery.empty();
+                self.site.discovery.accept();
+            }
+            _ => {}
+        }
+        self.seen = self.site.discovery.ends.len();
+    }
+
+    /// Lets time pass while calls fail so; how many calls there were.
+    fn step(&mut self, fault: Fault) -> usize {
+        self.site.advance(STEP_MS);
+        let news = self.news();
+        let calls = self.site.discovery.ends.split_at_mut(self.seen).1;
+        for call in calls.iter_mut() {
+            match fault {
+                Fault::Refuses | Fault::Hangs | Fault::Silent => {}
+                Fault::HeadOnly => call.send(HEAD),
+                Fault::HalfList => call.send(format!("{HEAD}{}", chunk(&news[..news.len() / 2]))),
+                Fault::Resets => call.reset(),
+                Fault::TurnsAway => {
+                    call.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                }
+                Fault::EndsAtOnce => call.send(format!("{HEAD}0\r\n\r\n")),
+            }
+        }
+        let made = calls.len();
+        self.seen += made;
+        for _ in 0..made {
+            self.site.round();
+        }
+        made
+    }
+
+    fn fail_for(&mut self, fault: Fault, time: Duration) {
+        let end = self.site.now + time;
+        while self.site.now < end {
+            self.step(fault);
+        }
+    }
+
+    /// Calls are answered with the change; it has to be held this long after `since` at the latest.
+    fn held_within(&mut self, most: Duration, since: Duration, what: &str) {
+        let news = format!("{HEAD}{}", chunk(&self.news()));
+        while self.site.program.list_version() == 41 {
+            let late = self.site.now - since;
+            assert!(late <= most, "{what}, {:?}: not told after {late:?}", self.mode);
+            self.site.advance(STEP_MS);
+            for call in &mut self.site.discovery.ends[self.seen..] {
+                call.send(&news);
+            }
+            if self.site.discovery.ends.len() > self.seen {
+                self.seen = self.site.discovery.ends.len();
+                self.site.until("the news", |s| s.program.list_version() == 42);
+            }
+        }
+    }
+
+    /// SIGHUP moves discovery to a new place; the old one stays as it is.
+    fn move_discovery(&mut self) -> Party {
+        let old = std::mem::replace(&mut self.site.discovery, Party::new());
+        drop(self.site.reload());
+        self.seen = 0;
+        old
+    }
+}
+
+#[test]
+fn a_change_is_held_6_s_after_discovery_can_be_reached_again() {
+    for mode in MODES {
+        for fault in FAULTS {
+            for outage in [Duration::from_millis(4050), Duration::from_millis(17_350)] {
+                let mut telling = Telling::new(mode);
+                telling.fail(fault);
+                telling.fail_for(fault, outage);
+                telling.recover(fault);
+                let since = telling.site.now;
+                telling.held_within(TOLD, since, &format!("{fault:?} for {outage:?}"));
+            }
+        }
+    }
+}
+
+#[test]
+fn a_change_that_a_silent_watch_and_a_failed_call_missed_is_held_before_sends_must_have_ended() {
+    for mode in MODES {
+        for fault in FAULTS {
+            let mut telling = Telling::new(mode);
+            let since = telling.site.now;
+            // The watch has fallen silent; the one call that follows fails.
+            let waits = Duration::from_millis(2500);
+            telling.fail_for(Fault::Silent, waits);
+            if matches!(fault, Fault::Refuses | Fault::Hangs) {
+                telling.site.discovery.ends.clear();
+                telling.fail(fault);
+                telling.fail_for(fault, Duration::from_millis(700));
+                telling.recover(fault);
+            } else {
+                while telling.step(fault) == 0 {}
+            }
+            let most = TOLD + Duration::from_millis(mode.grace);
+            telling.held_within(most, since, &format!("silent, then {fault:?}"));
+        }
+    }
+}
+
+#[test]
+fn a_change_at_the_place_that_sighup_names_is_held_4_s_later_whatever_the_old_one_does() {
+    for mode in MODES {
+        for fault in FAULTS {
+            let mut telling = Telling::new(mode);
+            telling.fail(fault);
+            telling.fail_for(fault, Duration::from_millis(9050));
+            let _old = telling.move_discovery();
+            let since = telling.site.now;
+            telling.held_within(TOLD_AFTER_RELOAD, since, &format!("moved away from {fault:?}"));
+        }
+    }
+}
+
+#[test]
+fn a_change_is_held_6_s_after_the_last_of_several_places_can_be_reached() {
+    for mode in MODES {
+        for fault in FAULTS {
+            let mut telling = Telling::new(mode);
+            telling.fail(Fault::TurnsAway);
+            telling.fail_for(Fault::TurnsAway, Duration::from_millis(9050));
+            // Three moves in a row, each to a place that fails for a while, the last one longest.
+            let mut old = Vec::new();
+            for time in [100, 1500, 7050] {
+                old.push(telling.move_discovery());
+                telling.fail(fault);
+                telling.fail_for(fault, Duration::from_millis(time));
+            }
+            telling.recover(fault);
+            let since = telling.site.now;
+            telling.held_within(TOLD, since, &format!("moved thrice, {fault:?}"));
+        }
+    }
+}
