--- /dev/null
+++ b/ingress/tests/terms.rs
@@ -0,0 +1,452 @@
+//! The five terms of the standing test that go before its older rules: each test forces the case with scripted
+//! parties and a clock that it moves. Which mutation of the program each was seen to fail on is listed in
+//! `docs/design/crossings.md`. The third term, on cold servers, is `tests/cold_budget.rs` of the root package.
+
+mod common;
+
+use common::*;
+use std::time::Duration;
+
+// Term 2: a client that closes or cancels has gone.
+
+/// How a client goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Leaving {
+    /// It does not: the control, in which the attempt has to be made.
+    Stays,
+    Closes,
+    EndsSending,
+    Resets,
+}
+
+/// What the next attempt of its request waits for.
+#[derive(Clone, Copy, Debug)]
+enum Awaited {
+    Counter,
+    Link,
+    /// The first attempt's refusal, after which a further one is made.
+    Refusal,
+}
+
+/// What else goes on on its connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Connection {
+    Single,
+    /// Further requests wait behind the first.
+    Pipelined,
+    /// As many commands wait as may, and far more is sent behind them than the system's buffers take in.
+    PausedByCommands,
+    /// It takes in no answers, and requests are sent behind them.
+    PausedByAnswers,
+}
+
+const SERVERS: usize = 4;
+/// More than the ingress reads at once and the system takes in behind that, and less than it holds of one client.
+const UNREAD_BEHIND: usize = 300_000;
+/// More than may wait on a connection.
+const PINGS: usize = 1100;
+
+/// A request's next attempt is about to be made.
+struct AboutToSend {
+    site: Site,
+    client: End,
+    awaited: Awaited,
+    /// Server and connection of the attempts that are out, in the order of the requests.
+    out: Vec<(usize, usize)>,
+}
+
+impl AboutToSend {
+    fn new(awaited: Awaited, connection: Connection) -> AboutToSend {
+        let mut site = Site::new(SERVERS);
+        let client = match connection {
+            Connection::PausedByAnswers => End::narrow(site.program.address().unwrap()),
+            _ => site.client(),
+        };
+        site.until("the client is taken in", |s| s.program.open().2 == 1);
+        let mut case = AboutToSend { site, client, awaited, out: Vec::new() };
+        match awaited {
+            Awaited::Counter => case.site.counter.counting = Counting::Silent,
+            Awaited::Link => case.site.servers.iter_mut().for_each(Party::fill_up),
+            Awaited::Refusal => {}
+        }
+        let requests = match connection {
+            Connection::Single | Connection::PausedByCommands => 1,
+            Connection::Pipelined => 3,
+            Connection::PausedByAnswers => 7,
+        };
+        case.client.send((0..requests).flat_map(|id| load_of(100 + id, id)).collect::<Vec<u8>>());
+        case.wait(requests as usize);
+        match connection {
+            Connection::Single | Connection::Pipelined => {}
+            Connection::PausedByCommands => case.pause_by_commands(),
+            Connection::PausedByAnswers => case.pause_by_answers(),
+        }
+        case
+    }
+
+    /// Goes on until all requests wait for what is awaited.
+    fn wait(&mut self, requests: usize) {
+        let site = &mut self.site;
+        site.until("the requests", |s| s.program.open().0 == requests);
+        match self.awaited {
+            Awaited::Counter => site.until("the calls", |s| counter_waits(s)),
+            Awaited::Link => site.until("the connections are begun", |s| s.program.open().1 == requests),
+            Awaited::Refusal => {
+                let mut out: Vec<_> = (0..requests).map(|_| site.arrival()).collect();
+                out.sort_by_key(|(_, _, words)| words[2].clone());
+                self.out = out.into_iter().map(|(server, connection, _)| (server, connection)).collect();
+            }
+        }
+    }
+
+    fn pause_by_commands(&mut self) {
+        self.client.send("*1\r\n$4\r\nPING\r\n".repeat(PINGS));
+        let behind: Vec<u8> =
+            (0..).flat_map(|id| load_of(5000 + id, 5000 + id)).take(UNREAD_BEHIND).collect();
+        let mut rest = &behind[..];
+        // What the system does not take at once it takes while the ingress still reads.
+        for _ in 0..100 {
+            rest = &rest[self.client.send_some(rest)..];
+            self.site.round();
+        }
+        assert!(rest.is_empty(), "{} bytes could not be sent", rest.len());
+        assert_eq!(self.site.program.open().0, 1, "nothing behind the pause is taken in");
+    }
+
+    /// All but the last request are answered, and the answers are not taken in.
+    fn pause_by_answers(&mut self) {
+        let last = self.out.len() - 1;
+        for (server, connection) in self.out.drain(..last) {
+            self.site.servers[server].ends[connection].send(served(&"v".repeat(60_000)));
+        }
+        self.site.until("answers are not taken in", |s| s.program.clients_hold().1 > 256 << 10);
+        self.client.send(load_of(5000, 5000));
+        for _ in 0..5 {
+            self.site.round();
+        }
+        assert_eq!(self.site.program.open().0, 1, "nothing behind the pause is taken in");
+    }
+
+    fn leave(&mut self, leaving: Leaving) {
+        match leaving {
+            Leaving::Stays => return,
+            Leaving::Closes => {
+                let elsewhere = End::connect(self.site.discovery.address);
+                drop(std::mem::replace(&mut self.client, elsewhere));
+            }
+            Leaving::EndsSending => self.client.end_sending(),
+            Leaving::Resets => self.client.reset(),
+        }
+        // No time passes until then.
+        self.site.until("the client has gone", |s| s.program.open().2 == 0);
+    }
+
+    /// What was awaited comes.
+    fn go_on(&mut self) {
+        match self.awaited {
+            Awaited::Counter => self.site.counter.counting = Counting::Answers,
+            Awaited::Link => self.site.servers.iter_mut().for_each(Party::empty),
+            Awaited::Refusal => {
+                for (server, connection) in &self.out {
+                    self.site.servers[*server].ends[*connection].send("-BUSY\r\n");
+                }
+            }
+        }
+    }
+}
+
+/// A client leaves in each way while an attempt is awaited: none is begun.
+fn no_attempt_begins_after_leaving(awaited: Awaited, connection: Connection) {
+    for leaving in [Leaving::Stays, Leaving::Closes, Leaving::EndsSending, Leaving::Resets] {
+        let mut case = AboutToSend::new(awaited, connection);
+        case.leave(leaving);
+        case.go_on();
+        let what = format!("{awaited:?}, {connection:?}, {leaving:?}");
+        if leaving == Leaving::Stays {
+            case.site.arrival();
+            continue;
+        }
+        nothing_is_sent_on(&mut case.site, &what);
+        let (requests, _, clients) = case.site.program.open();
+        assert_eq!((requests, clients), (0, 0), "{what}: what it held is released");
+        assert_eq!(case.site.program.clients_hold(), (0, 0), "{what}");
+    }
+}
+
+#[test]
+fn a_client_that_leaves_has_no_first_attempt_begun() {
+    for connection in [Connection::Single, Connection::Pipelined] {
+        no_attempt_begins_after_leaving(Awaited::Counter, connection);
+        no_attempt_begins_after_leaving(Awaited::Link, connection);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_has_no_further_attempt_begun() {
+    for connection in [Connection::Single, Connection::Pipelined] {
+        no_attempt_begins_after_leaving(Awaited::Refusal, connection);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_while_its_commands_are_paused_has_no_attempt_begun() {
+    for awaited in [Awaited::Counter, Awaited::Link, Awaited::Refusal] {
+        no_attempt_begins_after_leaving(awaited, Connection::PausedByCommands);
+    }
+}
+
+#[test]
+fn a_client_that_leaves_without_reading_its_answers_has_no_further_attempt_begun() {
+    no_attempt_begins_after_leaving(Awaited::Refusal, Connection::PausedByAnswers);
+}
+
+// Term 1: a change counts as told 6 s after discovery had it and could be reached.
+
+/// What becomes of calls to discovery.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    Refuses,
+    /// Connections never come up.
+    Hangs,
+    Silent,
+    /// The head of an answer, and nothing behind it.
+    HeadOnly,
+    /// Half of a list, and nothing behind it.
+    HalfList,
+    Resets,
+    TurnsAway,
+    /// The watch ends instead of telling.
+    EndsAtOnce,
+}
+
+const FAULTS: [Fault; 8] = [
+    Fault::Refuses,
+    Fault::Hangs,
+    Fault::Silent,
+    Fault::HeadOnly,
+    Fault::HalfList,
+    Fault::Resets,
+    Fault::TurnsAway,
+    Fault::EndsAtOnce,
+];
+
+/// A change counts as told so long after discovery had it and could be reached, ...
+const TOLD: Duration = Duration::from_secs(6);
+/// ... and so long after SIGHUP where the new place has it by then.
+const TOLD_AFTER_RELOAD: Duration = Duration::from_secs(4);
+const STEP_MS: u64 = 100;
+
+/// What an ingress is started with.
+#[derive(Clone, Copy, Debug)]
+struct Mode {
+    /// Are lists pushed, or asked for by calls that may wait?
+    pushed: bool,
+    ingresses: u32,
+    /// Milliseconds in which sends have to end after a drain was told.
+    grace: u64,
+}
+
+const MODES: [Mode; 4] = [
+    Mode { pushed: true, ingresses: 1, grace: 2000 },
+    Mode { pushed: true, ingresses: 300, grace: 500 },
+    Mode { pushed: false, ingresses: 300, grace: 2000 },
+    Mode { pushed: false, ingresses: 300, grace: 0 },
+];
+
+/// A site whose discovery has a change to tell, once it may.
+struct Telling {
+    site: Site,
+    mode: Mode,
+    /// Connections to discovery that have had what is meant for them.
+    seen: usize,
+    /// A place that discovery has left and that goes on telling that nothing has changed.
+    left: Option<Party>,
+}
+
+impl Telling {
+    fn new(mode: Mode) -> Telling {
+        let mut site = Site::new(2);
+        let ingresses = format!("\"Balancers\":{},", mode.ingresses);
+        let discovery =
+            if mode.pushed { "\"Discovery\":\"automatic\"" } else { "\"Discovery\":\"subscribe\"" };
+        let words = [("\"Balancers\":1,", &*ingresses), ("\"Discovery\":\"automatic\"", discovery)];
+        site.start_with_grace(mode.grace, &words);
+        site.talks = false;
+        let seen = site.discovery.ends.len();
+        Telling { site, mode, seen, left: None }
+    }
+
+    fn news(&self) -> String {
+        list(42, false, &[target(0, self.site.servers[0].address, "DRAINING")])
+    }
+
+    /// From now on this is what becomes of calls; the watch that is open falls silent, or breaks.
+    fn fail(&mut self, fault: Fault) {
+        match fault {
+            Fault::Refuses => self.site.discovery.die(),
+            Fault::Hangs => self.site.discovery.fill_up(),
+            Fault::Silent | Fault::HeadOnly | Fault::HalfList => {}
+            Fault::Resets | Fault::TurnsAway | Fault::EndsAtOnce => {
+                self.site.discovery.ends.iter_mut().for_each(End::hang_up);
+            }
+        }
+        self.seen = self.site.discovery.ends.len();
+    }
+
+    /// Calls from now on find a discovery that can be reached; those from before are never answered.
+    fn recover(&mut self, fault: Fault) {
+        match fault {
+            Fault::Refuses => self.site.discovery.revive(),
+            Fault::Hangs => {
+                self.site.discovery.empty();
+                self.site.discovery.accept();
+            }
+            _ => {}
+        }
+        self.seen = self.site.discovery.ends.len();
+    }
+
+    /// Lets time pass while calls fail so; how many calls there were.
+    fn step(&mut self, fault: Fault) -> usize {
+        self.site.advance(STEP_MS);
+        let news = self.news();
+        let calls = self.site.discovery.ends.split_at_mut(self.seen).1;
+        for call in calls.iter_mut() {
+            match fault {
+                Fault::Refuses | Fault::Hangs | Fault::Silent => {}
+                Fault::HeadOnly => call.send(HEAD),
+                Fault::HalfList => call.send(format!("{HEAD}{}", chunk(&news[..news.len() / 2]))),
+                Fault::Resets => call.reset(),
+                Fault::TurnsAway => {
+                    call.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                }
+                Fault::EndsAtOnce => call.send(format!("{HEAD}0\r\n\r\n")),
+            }
+        }
+        let made = calls.len();
+        self.seen += made;
+        for _ in 0..made {
+            self.site.round();
+        }
+        made
+    }
+
+    fn fail_for(&mut self, fault: Fault, time: Duration) {
+        let end = self.site.now + time;
+        while self.site.now < end {
+            self.step(fault);
+        }
+    }
+
+    /// Calls are answered with the change; it has to be held this long after `since` at the latest.
+    fn held_within(&mut self, most: Duration, since: Duration, what: &str) {
+        let news = format!("{HEAD}{}", chunk(&self.news()));
+        while self.site.program.list_version() == 41 {
+            let late = self.site.now - since;
+            assert!(late <= most, "{what}, {:?}: not told after {late:?}", self.mode);
+            self.site.advance(STEP_MS);
+            if let Some(left) = &mut self.left {
+                left.read();
+                left.ends.iter_mut().for_each(|end| end.send(chunk("\n")));
+            }
+            for call in &mut self.site.discovery.ends[self.seen..] {
+                call.send(&news);
+            }
+            if self.site.discovery.ends.len() > self.seen {
+                self.seen = self.site.discovery.ends.len();
+                self.site.until("the news", |s| s.program.list_version() == 42);
+            }
+        }
+    }
+
+    /// SIGHUP moves discovery to a new place; the old one stays as it is.
+    fn move_discovery(&mut self) -> Party {
+        let old = std::mem::replace(&mut self.site.discovery, Party::new());
+        drop(self.site.reload());
+        self.seen = 0;
+        old
+    }
+}
+
+#[test]
+fn a_change_is_held_6_s_after_discovery_can_be_reached_again() {
+    for mode in MODES {
+        for fault in FAULTS {
+            // Many lengths, as the wait between calls grows with them, where it does.
+            let outages: &[u64] = match fault {
+                Fault::Hangs | Fault::Silent | Fault::HeadOnly | Fault::HalfList => &[4050, 17_350],
+                _ => &[4050, 11_150, 17_350, 31_050],
+            };
+            for outage in outages.iter().map(|ms| Duration::from_millis(*ms)) {
+                let mut telling = Telling::new(mode);
+                telling.fail(fault);
+                telling.fail_for(fault, outage);
+                telling.recover(fault);
+                let since = telling.site.now;
+                telling.held_within(TOLD, since, &format!("{fault:?} for {outage:?}"));
+            }
+        }
+    }
+}
+
+#[test]
+fn a_change_that_a_silent_watch_and_a_failed_call_missed_is_held_before_sends_must_have_ended() {
+    for mode in MODES {
+        for fault in FAULTS {
+            let mut telling = Telling::new(mode);
+            let since = telling.site.now;
+            // The watch has fallen silent; the one call that follows fails.
+            let waits = Duration::from_millis(2500);
+            telling.fail_for(Fault::Silent, waits);
+            if matches!(fault, Fault::Refuses | Fault::Hangs) {
+                telling.site.discovery.ends.clear();
+                telling.fail(fault);
+                telling.fail_for(fault, Duration::from_millis(700));
+                telling.recover(fault);
+            } else {
+                while telling.step(fault) == 0 {}
+            }
+            let most = TOLD + Duration::from_millis(mode.grace);
+            telling.held_within(most, since, &format!("silent, then {fault:?}"));
+        }
+    }
+}
+
+#[test]
+fn a_change_at_the_place_that_sighup_names_is_held_4_s_later_whatever_the_old_one_does() {
+    for mode in MODES {
+        for fault in FAULTS {
+            let mut telling = Telling::new(mode);
+            telling.fail(fault);
+            telling.fail_for(fault, Duration::from_millis(9050));
+            let _old = telling.move_discovery();
+            let since = telling.site.now;
+            telling.held_within(TOLD_AFTER_RELOAD, since, &format!("moved away from {fault:?}"));
+        }
+        let mut telling = Telling::new(mode);
+        telling.left = Some(telling.move_discovery());
+        let since = telling.site.now;
+        telling.held_within(TOLD_AFTER_RELOAD, since, "moved away from a place that goes on");
+    }
+}
+
+#[test]
+fn a_change_is_held_6_s_after_the_last_of_several_places_can_be_reached() {
+    for mode in MODES {
+        for fault in FAULTS {
+            let mut telling = Telling::new(mode);
+            telling.fail(Fault::TurnsAway);
+            telling.fail_for(Fault::TurnsAway, Duration::from_millis(9050));
+            // Three moves in a row, each to a place that fails for a while, the last one longest.
+            let mut old = Vec::new();
+            for time in [100, 1500, 7050] {
+                old.push(telling.move_discovery());
+                telling.fail(fault);
+                telling.fail_for(fault, Duration::from_millis(time));
+            }
+            telling.recover(fault);
+            let since = telling.site.now;
+            telling.held_within(TOLD, since, &format!("moved thrice, {fault:?}"));
+        }
+    }
+}
