--- a/ingress/tests/process.rs
+++ b/ingress/tests/process.rs
@@ -158,6 +158,28 @@
     assert_eq!(running.terminate().code(), Some(0), "a reload beside the end does no harm");
 }
 
+#[test]
+fn sighup_puts_services_in_force_and_a_mistake_in_them_is_named_and_keeps_the_old_ones() {
+    let (counter, discovery) = (Party::new(), Party::new());
+    let settings = std::env::temp_dir().join(format!("roseyard-{}-services.kdl", std::process::id()));
+    let services =
+        "services { route-field \"route\"; service \"x\" { servers \"s-1\" }; route \"a\" service=\"x\" }";
+    std::fs::write(&settings, services).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_roseyard"));
+    command.env_remove("LB_DISCOVERY").env("ROSEYARD_SETTINGS", &settings);
+    let text = config(&counter, &discovery, &[], 1024);
+    let mut running = Running::start_with("services", &text, command);
+    std::fs::write(&settings, services.replace("service=\"x\"", "service=\"y\"")).unwrap();
+    running.signal(Signal::HUP);
+    let line = line_with(&mut running.log, "warn: reload: ");
+    assert!(line.contains(".kdl:1:74: there is no service 'y'; there are x"), "{line}");
+    std::fs::write(&settings, services.replace("route \"a\"", "route \"b\"")).unwrap();
+    running.signal(Signal::HUP);
+    line_with(&mut running.log, "info: services: 1 services, 1 routes, 2 changes");
+    assert_eq!(running.terminate().code(), Some(0));
+    std::fs::remove_file(&settings).unwrap();
+}
+
 #[test]
 fn without_descriptors_left_connections_between_requests_make_room() {
     let (counter, discovery) = (Party::new(), Party::new());
--- /dev/null
+++ b/ingress/tests/services.rs
@@ -0,0 +1,234 @@
+//! Services on real connections: routes, servers, and what a reload moves while requests are out.
+
+mod common;
+
+use common::*;
+use roseyard_ingress::program::config::Config;
+use roseyard_operator::File;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Two services with a server each and no default: a request needs its route.
+const TWO: &str = "services {
+    route-field \"route\"
+    service \"forms\" { servers \"s-0\" }
+    service \"orders\" { servers \"s-1\" }
+    route \"a\" service=\"forms\"
+    route \"eu/b\" service=\"orders\"
+}
+";
+
+fn site(file: &str) -> Site {
+    Site::under(2, 1024, 192, file)
+}
+
+/// A request with this list of names and values, of a customer of its own: no quota is in the way.
+fn alone(id: u64, list: &str) -> Vec<u8> {
+    let name = if list.starts_with("c=submit") { "API.WRITE" } else { "API.READ" };
+    request_of(0x1000 + id, name, id, list)
+}
+
+/// A request that may be repeated, with this route.
+fn routed(id: u64, route: &str) -> Vec<u8> {
+    alone(id, &format!("{LOAD},route={route}"))
+}
+
+/// The number of a request that has come to a server.
+fn number(words: &[String]) -> u64 {
+    u64::from_str_radix(&words[2], 16).unwrap()
+}
+
+/// The ingress reads this file of the operator's again.
+fn reload(site: &mut Site, file: &str) {
+    let text = config(&site.counter.party, &site.discovery, &site.servers, 1024);
+    let file = File::parse("roseyard.kdl", file).map_err(|wrong| wrong.to_string());
+    let config = Config::parse(text.into(), |_| None);
+    site.program.reload(config.and_then(|config| Ok((config, file?))));
+}
+
+/// Sends a request and answers it; the server that it came to.
+fn server_of(site: &mut Site, client: &mut End, command: Vec<u8>) -> usize {
+    client.send(command);
+    let (server, connection, _) = site.arrival();
+    site.servers[server].ends[connection].send(served("v"));
+    site.expect(client, "$1\r\nv\r\n");
+    server
+}
+
+#[test]
+fn each_service_gets_the_requests_of_its_routes_alone() {
+    let mut site = site(TWO);
+    let mut client = site.client();
+    for id in 0..40 {
+        let (route, server) = if id % 3 == 0 { ("a", 0) } else { ("eu/b", 1) };
+        assert_eq!(server_of(&mut site, &mut client, routed(id, route)), server, "request {id}");
+    }
+}
+
+#[test]
+fn the_route_goes_to_the_server_with_the_rest_of_the_list() {
+    let mut site = site(TWO);
+    let mut client = site.client();
+    client.send(routed(1, "eu/b"));
+    let (_, _, words) = site.arrival();
+    assert!(words[3].ends_with(",route=eu/b"), "{}", words[3]);
+}
+
+#[test]
+fn a_request_whose_service_is_not_known_is_told_so_and_nothing_is_counted() {
+    let mut site = site(TWO);
+    let long = "x".repeat(129);
+    let mut client = site.client();
+    for (command, said) in [
+        (routed(1, "odd"), "-ERR unknown route\r\n"),
+        (routed(2, "A"), "-ERR unknown route\r\n"),
+        (load(3), "-ERR route is missing\r\n"),
+        (routed(4, ""), "-ERR invalid route\r\n"),
+        (routed(5, &long), "-ERR invalid route\r\n"),
+        (request("API.READ", 6, &format!("route=a,{LOAD},route=a")), "-ERR invalid route\r\n"),
+    ] {
+        client.send(command);
+        site.expect(&mut client, said);
+    }
+    assert_eq!(site.program.open().0, 0);
+    assert!(site.counter.calls.is_empty(), "counted: {:?}", site.counter.calls);
+    assert!(site.servers.iter_mut().all(|server| server.command().is_none()));
+    assert_eq!(server_of(&mut site, &mut client, routed(7, "a")), 0, "the connection goes on");
+}
+
+#[test]
+fn requests_without_a_route_and_servers_that_no_line_names_are_the_default_s() {
+    let mut site =
+        site(&TWO.replace("service \"forms\" { servers \"s-0\" }", "default \"forms\"; service \"forms\""));
+    let mut client = site.client();
+    for id in 0..10 {
+        assert_eq!(server_of(&mut site, &mut client, alone(id, LOAD)), 0);
+    }
+    assert_eq!(server_of(&mut site, &mut client, routed(10, "eu/b")), 1);
+    client.send(routed(11, "odd"));
+    site.expect(&mut client, "-ERR unknown route\r\n");
+}
+
+#[test]
+fn a_service_whose_servers_have_left_harms_no_other() {
+    let mut site = site(TWO);
+    let (mut client, mut other) = (site.client(), site.client());
+    site.tell(42, &[(0, "DELETED")]);
+    site.until("the list", |s| s.program.list_version() == 42);
+    client.send(routed(1, "a"));
+    for id in 2..12 {
+        assert_eq!(server_of(&mut site, &mut other, routed(id, "eu/b")), 1);
+    }
+    client.read();
+    assert!(!client.text().starts_with('$'), "no server of another service has answered: {}", client.text());
+    assert!(site.servers[0].command().is_none());
+}
+
+/// Requests that are out: who sent them, and where they arrived.
+#[derive(Default)]
+struct Out {
+    clients: BTreeMap<u64, End>,
+    arrived: BTreeMap<u64, (usize, usize)>,
+}
+
+impl Out {
+    /// Each from a client of its own, one after the other; returns the servers that they came to.
+    fn send(&mut self, site: &mut Site, ids: std::ops::Range<u64>, list: &str) -> BTreeSet<usize> {
+        let mut servers = BTreeSet::new();
+        for id in ids {
+            let mut client = site.client();
+            client.send(alone(id, list));
+            self.clients.insert(id, client);
+            let (server, connection, words) = site.arrival();
+            assert_eq!(number(&words), id);
+            assert_eq!(self.arrived.insert(id, (server, connection)), None, "request {id} came twice");
+            servers.insert(server);
+        }
+        servers
+    }
+
+    /// All are answered, and each client has its own answer, once.
+    fn answer(mut self, site: &mut Site) {
+        for (id, (server, connection)) in &self.arrived {
+            site.servers[*server].ends[*connection].send(served(&format!("{id:04}")));
+        }
+        for (id, client) in &mut self.clients {
+            site.expect(client, &format!("$4\r\n{id:04}\r\n"));
+        }
+        assert_eq!(site.program.open().0, 0, "nothing is held any more");
+        site.advance(5000);
+        assert!(site.servers.iter_mut().all(|server| server.command().is_none()), "none was repeated");
+        for (id, client) in &mut self.clients {
+            client.read();
+            assert_eq!((client.text(), client.open), ("", true), "request {id} was answered once");
+        }
+    }
+}
+
+#[test]
+fn a_route_that_is_moved_while_requests_are_out_loses_none_and_repeats_none() {
+    let mut site = site(TWO);
+    let read = format!("{LOAD},route=a");
+    let write = format!("{SUBMIT},route=a");
+    let mut out = Out::default();
+    assert_eq!(out.send(&mut site, 0..6, &read), [0].into());
+    assert_eq!(out.send(&mut site, 6..12, &write), [0].into());
+    reload(&mut site, &TWO.replace("route \"a\" service=\"forms\"", "route \"a\" service=\"orders\""));
+    assert_eq!(out.send(&mut site, 12..18, &read), [1].into(), "new ones go by the new file");
+    assert_eq!(out.send(&mut site, 18..24, &write), [1].into());
+    out.answer(&mut site);
+}
+
+#[test]
+fn servers_that_are_moved_while_requests_are_out_lose_none_and_repeat_none() {
+    let mut site = site(TWO);
+    let (a, b) = (format!("{LOAD},route=a"), format!("{LOAD},route=eu/b"));
+    let mut out = Out::default();
+    assert_eq!(out.send(&mut site, 0..6, &a), [0].into());
+    assert_eq!(out.send(&mut site, 6..12, &b), [1].into());
+    let exchanged = TWO.replace("s-0", "s-x").replace("s-1", "s-0").replace("s-x", "s-1");
+    reload(&mut site, &exchanged);
+    assert_eq!(out.send(&mut site, 12..15, &a), [1].into());
+    assert_eq!(out.send(&mut site, 15..18, &b), [0].into());
+    out.answer(&mut site);
+}
+
+#[test]
+fn services_come_and_go_by_a_reload_while_requests_are_out() {
+    let mut site = site("");
+    let mut out = Out::default();
+    // What the platform does not read is passed over: without the section a route is nothing.
+    out.send(&mut site, 0..4, &format!("{LOAD},route=odd"));
+    reload(&mut site, TWO);
+    assert_eq!(out.send(&mut site, 4..8, &format!("{LOAD},route=eu/b")), [1].into());
+    reload(&mut site, "");
+    out.send(&mut site, 8..12, &format!("{LOAD},route=odd"));
+    out.answer(&mut site);
+}
+
+#[test]
+fn a_reload_with_a_mistake_keeps_the_services_in_force() {
+    let mut site = site(TWO);
+    let mut client = site.client();
+    let mistakes = [
+        TWO.replace("route \"a\" service=\"forms\"", "route \"a\" service=\"ordrs\""),
+        TWO.replace("route \"a\"", "route \"eu/b\""),
+        TWO.replace("{ servers \"s-0\" }", ""),
+        TWO.replace("s-0", "s-1"),
+        TWO.replace("services {", "services {\nmost 1"),
+    ];
+    for (wrong, id) in mistakes.iter().zip((0..).step_by(2)) {
+        reload(&mut site, wrong);
+        assert_eq!(server_of(&mut site, &mut client, routed(id, "a")), 0, "{wrong}");
+        assert_eq!(server_of(&mut site, &mut client, routed(id + 1, "eu/b")), 1, "{wrong}");
+    }
+}
+
+#[test]
+fn without_the_section_every_server_answers_every_request() {
+    let mut site = site("");
+    let mut out = Out::default();
+    let mut servers = out.send(&mut site, 0..20, LOAD);
+    servers.extend(out.send(&mut site, 20..40, &format!("{LOAD},route=any")));
+    assert_eq!(servers, [0, 1].into());
+    out.answer(&mut site);
+}
