Reach discovery and the counter when idle clients hold the last descriptor

Cause: only connections to servers made room where the system had no descriptor left; the watch on discovery and the counter's connections failed instead (EMFILE) and were tried again later, while newcomers took each descriptor that a closed client gave back. Change: one connect for all three, which takes the spare descriptor, had back from clients between requests at the round's end; for the watch an idle connection to a server goes first.

--- a/ingress/src/routing/attempts.rs
+++ b/ingress/src/routing/attempts.rs
@@ -162,14 +162,7 @@
         if !self.take_descriptor(Use::Links, io) {
             return self.ended(job, server, End::of(Outcome::ConnectFailed), io.now);
         }
-        let mut opened = connect(&address, io.limits.chunk_bytes);
-        // Guards against running out of descriptors: an idle connection elsewhere makes room, or the spare one.
-        if matches!(&opened, Err(e) if is_fd_shortage(*e))
-            && (self.evict_idle(io) || io.spare.take().is_some())
-        {
-            opened = connect(&address, io.limits.chunk_bytes);
-        }
-        let Ok(stream) = opened else {
+        let Ok(stream) = self.connect(&address, io) else {
             io.budget.give(Use::Links);
             return self.ended(job, server, End::of(Outcome::ConnectFailed), io.now);
         };
@@ -194,6 +187,18 @@
         self.occupy(job, Some(key));
     }
 
+    /// Begins a connection to a server or to discovery. Guards against running out of descriptors: an
+    /// idle connection to a server makes room, or the spare one.
+    pub(super) fn connect(&mut self, to: &SocketAddr, io: &mut Io) -> rustix::io::Result<Stream> {
+        match connect(to, io.limits.chunk_bytes) {
+            Err(e) if is_fd_shortage(e) => {
+                self.evict_idle(io);
+                io.connect(to)
+            }
+            opened => opened,
+        }
+    }
+
     /// Takes a connection out of a server's pool: the latest used that has rested, unless it is likely to be dead
     /// by now. Guards against a second answer, noise or an end that follows an answer: read as the next answer it
     /// would be another's value, and a request written before an end was seen may have run.
--- a/ingress/src/routing/counter.rs
+++ b/ingress/src/routing/counter.rs
@@ -5,7 +5,7 @@
 use super::{Io, Party};
 use crate::limits::Limits;
 use crate::protocol::http;
-use crate::transport::{connect, Fill, Ready, Stream};
+use crate::transport::{Fill, Ready, Stream};
 use roseyard::{CountName, CountResult};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -133,8 +133,7 @@
         if wire.stream.is_none() && !wire.calls.is_empty() {
             (wire.heard, wire.up, wire.answered, wire.epoch) = (io.now, false, false, self.epoch);
             wire.serial = wire.serial.wrapping_add(1);
-            let opened = connect(&self.address, io.limits.chunk_bytes);
-            let opened = opened.and_then(|s| {
+            let opened = io.connect(&self.address).and_then(|s| {
                 io.poller.add(s.fd(), Party::Counter(n as u16, wire.serial).token())?;
                 Ok(s)
             });
--- a/ingress/src/routing/discovery.rs
+++ b/ingress/src/routing/discovery.rs
@@ -5,7 +5,7 @@
 use crate::limits::Limits;
 use crate::protocol::http::{self, Body, Head};
 use crate::protocol::list::{self, Lists};
-use crate::transport::{connect, Fill, Ready, Stream};
+use crate::transport::{Fill, Ready, Stream};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -137,12 +137,14 @@
 impl Core {
     /// Opens the watch after the version held.
     pub(super) fn watch_open(&mut self, io: &mut Io) {
+        let address = self.watch.address;
+        let connected = self.connect(&address, io);
         let watch = &mut self.watch;
         watch.serial = watch.serial.wrapping_add(1);
         let serial = watch.serial;
-        let opened = connect(&watch.address, io.limits.chunk_bytes).and_then(|mut stream| {
+        let opened = connected.and_then(|mut stream| {
             io.poller.add(stream.fd(), Party::Watch(serial).token())?;
-            http::put_watch(stream.output(), &watch.address.to_string(), self.life.fleet().rev);
+            http::put_watch(stream.output(), &address.to_string(), self.life.fleet().rev);
             Ok(Call {
                 stream,
                 made: io.now,
--- a/ingress/src/routing/mod.rs
+++ b/ingress/src/routing/mod.rs
@@ -15,9 +15,10 @@
 pub use front::Front;
 
 use crate::limits::Limits;
-use crate::transport::{Deadlines, Key, Poller};
+use crate::transport::{connect, is_fd_shortage, Deadlines, Key, Poller, Stream};
 use roseyard_admission::Budget;
 use rustix::fd::OwnedFd;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Whom a readiness event or a deadline is for.
@@ -110,3 +111,16 @@
     /// Sizes, counts and times.
     pub limits: Limits,
 }
+
+impl Io {
+    /// Begins a connection. Where the system has no descriptor left the spare one makes room, which is had back from
+    /// clients between requests: guards against discovery, counter and servers that idle clients keep out of reach.
+    pub fn connect(&mut self, to: &SocketAddr) -> rustix::io::Result<Stream> {
+        match connect(to, self.limits.chunk_bytes) {
+            Err(e) if is_fd_shortage(e) && self.spare.take().is_some() => {
+                connect(to, self.limits.chunk_bytes)
+            }
+            opened => opened,
+        }
+    }
+}
