--- a/ingress/src/routing/members.rs
+++ b/ingress/src/routing/members.rs
@@ -5,7 +5,8 @@
 use crate::transport::Datagrams;
 use roseyard_admission::{Arrival, Rate};
 use roseyard_membership::{
-    wire, Action, Dropped, Event, Facts, Guard, Key, Name, Settings, Stage, Standing, Swim, View,
+    wire, Action, Dropped, Event, Guard, Key, MemberState, Metadata, Name, Received, Settings, Stage, Swim,
+    View,
 };
 use roseyard_operator::Membership;
 use serde::{Deserialize, Serialize};
@@ -108,8 +109,8 @@
 }
 
 /// What tells keys apart in log lines.
-fn marks(keys: &[Key]) -> String {
-    keys.iter().map(Key::mark).collect::<Vec<_>>().join(" ")
+fn fingerprints(keys: &[Key]) -> String {
+    keys.iter().map(Key::fingerprint).collect::<Vec<_>>().join(" ")
 }
 
 /// So many datagrams a second, a fifth of them at once.
@@ -119,11 +120,11 @@
 }
 
 impl Members {
-    /// Opens the socket, if the operator has set where. `life` is the Unix time of this start in milliseconds.
+    /// Opens the socket, if the operator has set where. `generation` is the Unix time of this start in milliseconds.
     pub fn start(
         operator: &Membership,
         name: &str,
-        life: u64,
+        generation: u64,
         seed: u64,
         io: &mut Io,
     ) -> Result<Option<Members>, String> {
@@ -136,25 +137,25 @@
         io.poller.add_level(&socket, Party::Members.token()).map_err(|e| format!("membership: {e}"))?;
         let path = |(name, at): &(String, _)| Some((Name::from(name).ok()?, *at));
         let settings = Settings {
-            period: operator.period,
-            timeout: operator.timeout,
-            gossip: operator.gossip,
-            sync: operator.sync,
-            suspicion: operator.suspicion,
+            probe_interval: operator.period,
+            probe_timeout: operator.timeout,
+            gossip_interval: operator.gossip,
+            sync_interval: operator.sync,
+            suspicion_multiplier: operator.suspicion,
             seeds: operator.seeds.clone(),
             paths: operator.paths.iter().filter_map(path).collect(),
             ..Settings::new(operator.expected)
         };
         let zone = operator.zone.as_str().try_into().unwrap_or_default();
-        let facts = Facts { zone, ..Facts::default() };
-        let (cluster, keys_held) = (&operator.cluster, marks(&keys));
+        let metadata = Metadata { zone, ..Metadata::default() };
+        let (cluster, keys_held) = (&operator.cluster, fingerprints(&keys));
         tracing::info!(
             event = "membership.listening", %address, cluster, keys = keys_held,
             "membership: {name} of cluster {cluster} listens on {address}, keys {keys_held}"
         );
         let mut members = Members {
             guard: Guard::new(&operator.cluster, keys, me, NAMES),
-            swim: Swim::new(settings, me, address, life, facts, seed),
+            swim: Swim::new(settings, me, address, generation, metadata, seed),
             socket,
             due: None,
             rate: rate(operator),
@@ -172,7 +173,7 @@
         self.rate = rate(operator);
         match keys(operator) {
             Ok(keys) => {
-                let marks = marks(&keys);
+                let marks = fingerprints(&keys);
                 tracing::info!(event = "membership.keys", marks, "membership: keys {marks}");
                 self.guard.set_keys(keys);
             }
@@ -184,8 +185,8 @@
 
     /// This ingress serves now.
     pub fn serving(&mut self, io: &mut Io) {
-        let facts = Facts { stage: Stage::Serving, ..self.swim.me().facts.clone() };
-        self.tell(Event::Facts(facts), io);
+        let metadata = Metadata { stage: Stage::Serving, ..self.swim.local().metadata.clone() };
+        self.tell(Event::Metadata(metadata), io);
     }
 
     /// This ingress leaves.
@@ -201,12 +202,9 @@
             self.count("received");
             let heard = match self.guard.open(&space[..length]) {
                 Ok(opened) => wire::read(opened.body)
-                    .map(|(message, news)| Event::Heard {
-                        at,
-                        from: opened.from,
-                        life: opened.life,
-                        message,
-                        news,
+                    .map(|(message, updates)| {
+                        let (sender, generation) = (opened.sender, opened.generation);
+                        Event::Received(Received { source: at, sender, generation, message, updates })
                     })
                     .ok_or(Dropped::Malformed),
                 Err(why) => Err(why),
@@ -235,10 +233,10 @@
             match action {
                 Action::Send { to, body } => self.send(to, &body, io),
                 Action::Changed { name, from, to } => {
-                    let (was, is) = (from.word(), to.word());
+                    let (was, is) = (from.as_str(), to.as_str());
                     let quorum = self.swim.quorum();
                     let (seen, expected) = (quorum.seen, quorum.expected);
-                    if matches!(to, Standing::Suspected | Standing::Gone) {
+                    if matches!(to, MemberState::Suspect | MemberState::Dead) {
                         tracing::warn!(
                             event = "membership.changed", %name, was, is, seen, expected,
                             "membership: {name} {is}, was {was}; {seen} of {expected} answer"
@@ -250,8 +248,8 @@
                         );
                     }
                 }
-                Action::Refused { by } => {
-                    let name = self.swim.me().name;
+                Action::NameConflict { holder: by } => {
+                    let name = self.swim.local().name;
                     tracing::warn!(
                         event = "membership.refused", %name, %by,
                         "membership: refused: the name {name} is held by a process at {by} that runs; asking again"
@@ -273,24 +271,24 @@
         if self.sent.take(io.now, self.rate).is_err() {
             return self.count("not sent: over the bound");
         }
-        let sealed = self.guard.seal(self.swim.me().life, body);
+        let sealed = self.guard.seal(self.swim.local().generation, body);
         let taken = self.socket.send(&sealed, to);
         self.count(if taken { "sent" } else { "not sent: not taken by the system" });
     }
 
     /// All that is known; `written` is the Unix time in milliseconds.
     pub fn status(&self, written: u64, now: Duration) -> Status {
-        let (me, quorum, counted) = (self.swim.me(), self.swim.quorum(), self.swim.counts());
+        let (me, quorum, counted) = (self.swim.local(), self.swim.quorum(), self.swim.counts());
         let member = |(name, view): (Name, View)| {
             let record = view.record?;
             Some(MemberStatus {
                 name: name.to_string(),
                 address: record.address.to_string(),
-                standing: view.standing.word().into(),
+                standing: view.state.as_str().into(),
                 age: view.age.map_or(0, |a| a.as_millis() as u64),
-                life: (record.life, record.round),
-                zone: record.facts.zone.to_string(),
-                stage: format!("{:?}", record.facts.stage).to_lowercase(),
+                life: (record.generation, record.incarnation),
+                zone: record.metadata.zone.to_string(),
+                stage: format!("{:?}", record.metadata.stage).to_lowercase(),
             })
         };
         let mut counts: BTreeMap<String, u64> =
@@ -298,10 +296,10 @@
         counts.extend(self.dropped.iter().map(|(why, n)| (format!("dropped: {why}"), *n)));
         for (what, n) in [
             ("probes", counted.probes),
-            ("probes failed", counted.failed),
-            ("suspicions refuted", counted.refuted),
+            ("probes failed", counted.failed_probes),
+            ("suspicions refuted", counted.refutations),
             ("stalls of its own", counted.stalls),
-            ("records not remembered", counted.crowded),
+            ("records not remembered", counted.rejected_records),
         ] {
             counts.insert(what.into(), n);
         }
@@ -309,9 +307,9 @@
             name: me.name.to_string(),
             address: me.address.to_string(),
             written,
-            life: me.life,
-            health: self.swim.health(),
-            held: self.swim.held().map(|at| at.to_string()),
+            life: me.generation,
+            health: self.swim.local_health(),
+            held: self.swim.name_conflict().map(|at| at.to_string()),
             seen: quorum.seen,
             expected: quorum.expected,
             quorum: quorum.holds(),
--- a/membership/benches/fleet.rs
+++ b/membership/benches/fleet.rs
@@ -27,12 +27,12 @@
         f.changes.clear();
         let (begin, dead) = (f.now, members / 2);
         f.kill(dead);
-        let all = |f: &Fleet| f.members.keys().all(|n| f.standing(*n, dead) == Standing::Gone);
+        let all = |f: &Fleet| f.members.keys().all(|n| f.state(*n, dead) == MemberState::Dead);
         f.until(ms(300_000), all).expect("a death is noticed");
         let mut at: Vec<Duration> = f
             .changes
             .iter()
-            .filter(|c| c.of == name(dead) && c.to == Standing::Gone)
+            .filter(|c| c.of == name(dead) && c.to == MemberState::Dead)
             .map(|c| c.at - begin)
             .collect();
         at.sort();
@@ -103,8 +103,8 @@
                     f.changes.clear();
                     f.net = Net { loss, twice: 0.0, least: ms(1), most: ms(50) };
                     f.run(ms(minutes * 60_000));
-                    suspected += f.falsely(Standing::Suspected);
-                    gone += f.falsely(Standing::Gone);
+                    suspected += f.falsely(MemberState::Suspect);
+                    gone += f.falsely(MemberState::Dead);
                 }
                 let hours = (seeds * minutes) as f64 / 60.0;
                 let health = if local_health { "yes" } else { "no" };
@@ -131,9 +131,9 @@
         println!(
             "| {} | {} | {} | {} |",
             if local_health { "yes" } else { "no" },
-            of(false, Standing::Gone).count(),
-            of(false, Standing::Suspected).filter(|c| c.by == 4).count(),
-            of(true, Standing::Suspected).count()
+            of(false, MemberState::Dead).count(),
+            of(false, MemberState::Suspect).filter(|c| c.by == 4).count(),
+            of(true, MemberState::Suspect).count()
         );
     }
 
--- a/membership/src/record.rs
+++ b/membership/src/record.rs
@@ -1,4 +1,4 @@
-//! What is told of a member, and which of two words on it is the newer.
+//! What members tell of one another, and which of two records of a member is the newer.
 
 use arrayvec::{ArrayString, ArrayVec};
 use serde::{Deserialize, Serialize};
@@ -8,7 +8,7 @@
 /// A member's name: the same after a restart, 1 to 16 bytes.
 pub type Name = ArrayString<16>;
 
-/// How far a member is with its own life, by its own word.
+/// How far a member is with its own lifecycle, by its own word.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Stage {
     /// It does not serve yet.
@@ -20,27 +20,27 @@
     Leaving,
 }
 
-/// Small facts that a member tells of itself; nobody else changes them.
+/// What a member tells of itself; nobody else changes it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Facts {
+pub struct Metadata {
     /// Its zone; empty for none.
     pub zone: ArrayString<12>,
     /// How far it is.
     pub stage: Stage,
     /// For parts that build on this one, in their own form.
-    pub more: ArrayVec<u8, 16>,
+    pub extension: ArrayVec<u8, 16>,
 }
 
-/// What others hold of a member. The later one in this order wins among words on one life and round.
+/// The status of a member. The later one in this order wins within one generation and incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Status {
     /// It answers.
     Alive,
-    /// A probe by the member of this mark was not answered: it may be gone.
+    /// A probe by the member of this name hash was not answered: it may be dead.
     Suspect(u32),
-    /// Suspected for so long that it is taken as gone; alive again if it says so itself.
-    Gone,
-    /// It said that it leaves. Final for this life.
+    /// Its suspicion timed out; alive again if it says so itself.
+    Dead,
+    /// It said that it leaves. Final for this generation.
     Left,
 }
 
@@ -49,61 +49,68 @@
         match self {
             Status::Alive => 0,
             Status::Suspect(_) => 1,
-            Status::Gone => 2,
+            Status::Dead => 2,
             Status::Left => 3,
         }
     }
 }
 
-/// One word on a member.
+/// A record of a member, as members pass it on.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Record {
-    /// Who it is.
+    /// Its name.
     pub name: Name,
     /// Where it listens.
     pub address: SocketAddr,
-    /// When this process of that name began, Unix time in milliseconds: a restart outlives its old news.
-    pub life: u64,
-    /// Counts the suspicions that it has refuted in this life.
-    pub round: u32,
-    /// What is held of it.
+    /// When this process of that name began, Unix time in milliseconds: a restart overrides its old records.
+    pub generation: u64,
+    /// Counts the suspicions that it has refuted in this generation.
+    pub incarnation: u32,
+    /// Its status.
     pub status: Status,
-    /// Counts the changes of its facts in this life.
-    pub version: u32,
-    /// Its facts.
-    pub facts: Facts,
+    /// Counts the changes of its metadata in this generation.
+    pub metadata_version: u32,
+    /// Its metadata.
+    pub metadata: Metadata,
 }
 
 impl Record {
-    /// Which word on one member is the newer, facts aside: a later life; within a life, that it left; then the
-    /// later round; then the graver status. Guards against a member that left and comes back by old news.
-    pub fn newer(&self, other: &Record) -> Ordering {
-        let of = |r: &Record| (r.life, r.status == Status::Left, r.round, r.status.rank());
-        of(self).cmp(&of(other))
+    /// Which record of one member has the newer status: a later generation; within a generation, that it left; then
+    /// the later incarnation; then the graver status. Guards against a member that left and comes back by old
+    /// updates.
+    pub fn cmp_status(&self, other: &Record) -> Ordering {
+        let key = |r: &Record| (r.generation, r.status == Status::Left, r.incarnation, r.status.rank());
+        key(self).cmp(&key(other))
     }
 
-    /// Which word tells the later facts.
-    pub fn facts_newer(&self, other: &Record) -> Ordering {
-        (self.life, self.version).cmp(&(other.life, other.version))
+    /// Which record has the newer metadata.
+    pub fn cmp_metadata(&self, other: &Record) -> Ordering {
+        (self.generation, self.metadata_version).cmp(&(other.generation, other.metadata_version))
     }
 
-    /// Takes in another word on the same member. Each part goes by its own order, so that words may come in any
-    /// order and any number of times. True if anything is new.
-    pub fn merge(&mut self, word: &Record) -> bool {
-        let facts = word.facts_newer(self) == Ordering::Greater;
-        if facts {
-            (self.version, self.facts) = (word.version, word.facts.clone());
+    /// Merges another record of the same member. Status and metadata go by their own order, so that records may come
+    /// in any order and any number of times. True if anything is new.
+    pub fn merge(&mut self, update: &Record) -> bool {
+        let newer_metadata = update.cmp_metadata(self) == Ordering::Greater;
+        if newer_metadata {
+            self.metadata_version = update.metadata_version;
+            self.metadata = update.metadata.clone();
         }
-        let newer = word.newer(self) == Ordering::Greater;
-        if newer {
-            (self.address, self.life) = (word.address, word.life);
-            (self.round, self.status) = (word.round, word.status);
+        let newer_status = update.cmp_status(self) == Ordering::Greater;
+        if newer_status {
+            (self.address, self.generation) = (update.address, update.generation);
+            (self.incarnation, self.status) = (update.incarnation, update.status);
         }
-        facts || newer
+        newer_metadata || newer_status
     }
 
     /// Is it taken to run?
-    pub fn runs(&self) -> bool {
+    pub fn is_running(&self) -> bool {
         matches!(self.status, Status::Alive | Status::Suspect(_))
     }
+
+    /// What a suspicion belongs to: one incarnation of one generation.
+    pub(crate) fn incarnation_id(&self) -> (u64, u32) {
+        (self.generation, self.incarnation)
+    }
 }
--- /dev/null
+++ b/membership/src/swim/apply.rs
@@ -0,0 +1,86 @@
+//! Updates: a record of a member is taken in, whichever way it came.
+
+use super::members::Member;
+use super::Swim;
+use crate::event::Action;
+use crate::record::{Record, Status};
+use crate::view::MemberState;
+use std::time::Duration;
+
+impl Swim {
+    /// Takes in a record.
+    pub(super) fn apply(&mut self, update: &Record, now: Duration, actions: &mut Vec<Action>) {
+        if update.name == self.local.name {
+            return self.apply_to_self(update, actions);
+        }
+        if self.is_premature_claim(update) {
+            return;
+        }
+        let Some(member) = self.members.get_mut(&update.name) else {
+            return self.add_member(update, now, actions);
+        };
+        let from = member.state();
+        let changed = member.merge(update, now);
+        let to = member.state();
+        if changed {
+            self.updates.enqueue(update.name);
+        }
+        if from != to {
+            actions.push(Action::Changed { name: update.name, from, to });
+        }
+    }
+
+    /// Is this a newer process that claims a name while another holds it? That one has to be gone first.
+    fn is_premature_claim(&self, update: &Record) -> bool {
+        let held = self.members.get(&update.name);
+        let is_newer = held.is_some_and(|member| update.generation > member.record.generation);
+        is_newer && self.name_holder(update).is_some()
+    }
+
+    fn add_member(&mut self, update: &Record, now: Duration, actions: &mut Vec<Action>) {
+        if self.members.len() >= self.settings.max_members {
+            self.counts.rejected_records += 1;
+            return;
+        }
+        let member = Member::new(update.clone(), now);
+        let to = member.state();
+        self.members.insert(member);
+        self.updates.enqueue(update.name);
+        self.probe_order.insert(update.name, &mut self.rng);
+        actions.push(Action::Changed { name: update.name, from: MemberState::NeverSeen, to });
+    }
+
+    /// An update on this member itself.
+    fn apply_to_self(&mut self, update: &Record, actions: &mut Vec<Action>) {
+        if update.generation > self.local.generation {
+            return self.on_newer_generation(update, actions);
+        }
+        let is_current = update.generation == self.local.generation;
+        let is_doubted =
+            is_current && update.status != Status::Alive && update.incarnation >= self.local.incarnation;
+        if is_doubted && !self.leaving {
+            self.refute(update);
+        }
+        if is_doubted || update.cmp_status(&self.local).is_lt() {
+            self.updates.enqueue(self.local.name);
+        }
+    }
+
+    /// Others hold a later start of this name than this process's own.
+    fn on_newer_generation(&mut self, update: &Record, actions: &mut Vec<Action>) {
+        if update.address != self.local.address {
+            // They took this one for dead and let another in under its name.
+            return self.set_name_conflict(update.address, actions);
+        }
+        // The clock went back over a restart: this generation must outlive the one that they know.
+        self.local.generation = update.generation + 1;
+        self.updates.enqueue(self.local.name);
+    }
+
+    /// Says in a later incarnation that this member lives.
+    fn refute(&mut self, update: &Record) {
+        self.local.incarnation = update.incarnation + 1;
+        self.counts.refutations += 1;
+        self.health.degrade(1);
+    }
+}
--- /dev/null
+++ b/membership/src/swim/gossip.rs
@@ -0,0 +1,109 @@
+//! Dissemination: updates are piggybacked on all messages and sent in rounds of gossip, each a bounded number of
+//! times.
+
+use super::Swim;
+use crate::event::Action;
+use crate::record::{Name, Record};
+use crate::wire::{Body, Message};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// An update is sent so many times the logarithm (base ten, rounded up, at least one) of the number of members.
+const RETRANSMIT_MULTIPLIER: u32 = 4;
+
+/// Names whose records are still to be sent, the least sent first.
+#[derive(Clone, Debug, Default)]
+pub(super) struct UpdateQueue {
+    /// Transmissions so far, and the name.
+    queue: BTreeSet<(u32, Name)>,
+}
+
+impl UpdateQueue {
+    pub fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+
+    /// Queues a member's record as sent to nobody yet.
+    pub fn enqueue(&mut self, name: Name) {
+        self.remove(&name);
+        self.queue.insert((0, name));
+    }
+
+    pub fn remove(&mut self, name: &Name) {
+        self.queue.retain(|(_, queued)| queued != name);
+    }
+
+    /// Adds as many records to a body as there is room for.
+    fn piggyback<'a>(
+        &mut self,
+        body: &mut Body,
+        max_transmissions: u32,
+        record_of: impl Fn(&Name) -> Option<&'a Record>,
+    ) {
+        let mut sent = Vec::new();
+        for (transmissions, name) in &self.queue {
+            if !record_of(name).is_some_and(|record| body.add(record)) {
+                break;
+            }
+            sent.push((*transmissions, *name));
+        }
+        for (transmissions, name) in sent {
+            self.queue.remove(&(transmissions, name));
+            if transmissions + 1 < max_transmissions {
+                self.queue.insert((transmissions + 1, name));
+            }
+        }
+    }
+}
+
+impl Swim {
+    /// A round of gossip, if there is anything to send.
+    pub(super) fn gossip(&mut self, actions: &mut Vec<Action>) {
+        if self.updates.is_empty() {
+            return;
+        }
+        for to in self.random_addresses(self.settings.gossip_fanout, Record::is_running) {
+            self.send(to, &Message::Gossip, actions);
+        }
+    }
+
+    /// Sends a message with as many updates as there is room for.
+    pub(super) fn send(&mut self, to: SocketAddr, message: &Message, actions: &mut Vec<Action>) {
+        self.send_about(to, message, None, actions);
+    }
+
+    /// The same, led by the record of a member that is concerned if it is suspected: it is to refute that.
+    pub(super) fn send_about(
+        &mut self,
+        to: SocketAddr,
+        message: &Message,
+        subject: Option<Name>,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut body = Body::new(message);
+        let subject = subject.and_then(|name| self.members.get(&name));
+        if let Some(member) = subject.filter(|member| member.is_suspect()) {
+            let _ = body.add(&member.record);
+        }
+        if *message == Message::Join {
+            // The joiner's own record goes before all others.
+            let _ = body.add(&self.local);
+        }
+        if self.join.name_conflict.is_none() {
+            self.piggyback_updates(&mut body);
+        }
+        actions.push(Action::Send { to, body: body.bytes() });
+    }
+
+    fn piggyback_updates(&mut self, body: &mut Body) {
+        let member_count = (self.members.len() + 1) as f64;
+        let max_transmissions = RETRANSMIT_MULTIPLIER * member_count.log10().ceil().max(1.0) as u32;
+        let (local, members) = (&self.local, &self.members);
+        self.updates.piggyback(body, max_transmissions, |name| {
+            if *name == local.name {
+                return Some(local);
+            }
+            members.get(name).map(|member| &member.record)
+        });
+    }
+}
--- /dev/null
+++ b/membership/src/swim/health.rs
@@ -0,0 +1,41 @@
+//! Local health (Lifeguard): a member that misses acks or stalls slows its own probes.
+
+use std::time::Duration;
+
+/// Worst score: probes take at most this and one times as long.
+pub(super) const MAX_SCORE: u32 = 8;
+
+/// The local health score: 0 is well.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LocalHealth {
+    score: u32,
+    enabled: bool,
+}
+
+impl LocalHealth {
+    /// One that is well; it stays so unless it is enabled.
+    pub fn new(enabled: bool) -> LocalHealth {
+        LocalHealth { score: 0, enabled }
+    }
+
+    pub fn score(&self) -> u32 {
+        self.score
+    }
+
+    /// Something points to a fault of this process itself.
+    pub fn degrade(&mut self, by: u32) {
+        if self.enabled {
+            self.score = self.score.saturating_add(by).min(MAX_SCORE);
+        }
+    }
+
+    /// A probe was answered.
+    pub fn improve(&mut self) {
+        self.score = self.score.saturating_sub(1);
+    }
+
+    /// A timeout or interval of a probe, longer the worse the score is.
+    pub fn scale(&self, time: Duration) -> Duration {
+        time * (self.score + 1)
+    }
+}
--- /dev/null
+++ b/membership/src/swim/mod.rs
@@ -0,0 +1,289 @@
+//! SWIM with suspicion, incarnations and local health, as a state machine.
+//!
+//! Each part of the protocol has a module: [`probe`] and [`relay`] are the failure detector (ping, ping-req, ack,
+//! nack), [`suspicion`] times out suspects, [`gossip`] disseminates updates, [`sync`] is anti-entropy, [`join`] finds
+//! the others, [`apply`] takes in records, [`health`] is local health and [`members`] the table of members.
+
+mod apply;
+mod gossip;
+mod health;
+mod join;
+mod members;
+mod probe;
+mod receive;
+mod relay;
+mod suspicion;
+mod sync;
+
+use crate::event::{Action, Event};
+use crate::record::{Metadata, Name, Record, Stage, Status};
+use crate::settings::Settings;
+use crate::view::{Counts, MemberState, Quorum, View};
+use gossip::UpdateQueue;
+use health::LocalHealth;
+use join::JoinState;
+use members::MemberTable;
+use probe::{Probe, ProbeOrder};
+use relay::RelayTable;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// When each recurring task is next due.
+#[derive(Clone, Copy, Debug, Default)]
+struct Timers {
+    probe: Duration,
+    gossip: Duration,
+    sync: Duration,
+    join: Duration,
+    reminder: Duration,
+    sweep: Duration,
+}
+
+/// One member's part of the protocol.
+#[derive(Clone, Debug)]
+pub struct Swim {
+    settings: Settings,
+    rng: fastrand::Rng,
+    /// This member's own record.
+    local: Record,
+    members: MemberTable,
+    updates: UpdateQueue,
+    probe: Option<Probe>,
+    probe_order: ProbeOrder,
+    relays: RelayTable,
+    /// The last sequence number of a ping.
+    sequence: u32,
+    health: LocalHealth,
+    join: JoinState,
+    started: bool,
+    leaving: bool,
+    timers: Timers,
+    counts: Counts,
+}
+
+impl Swim {
+    /// A member of this name that listens at this address; `generation` is the Unix time of its start in
+    /// milliseconds.
+    pub fn new(
+        settings: Settings,
+        name: Name,
+        address: SocketAddr,
+        generation: u64,
+        metadata: Metadata,
+        seed: u64,
+    ) -> Swim {
+        let status = Status::Alive;
+        let local =
+            Record { name, address, generation, incarnation: 0, status, metadata_version: 0, metadata };
+        Swim {
+            rng: fastrand::Rng::with_seed(seed),
+            local,
+            members: MemberTable::default(),
+            updates: UpdateQueue::default(),
+            probe: None,
+            probe_order: ProbeOrder::default(),
+            relays: RelayTable::default(),
+            sequence: 0,
+            health: LocalHealth::new(settings.local_health),
+            join: JoinState::new(settings.probe_interval),
+            started: false,
+            leaving: false,
+            timers: Timers::default(),
+            counts: Counts::default(),
+            settings,
+        }
+    }
+
+    /// This member's own record.
+    pub fn local(&self) -> &Record {
+        &self.local
+    }
+
+    /// Counters since the start.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// How far this ingress trusts itself: 0 is well; probes take one more and so many times as long.
+    pub fn local_health(&self) -> u32 {
+        self.health.score()
+    }
+
+    /// The process that holds this one's name, while this one is kept out for that.
+    pub fn name_conflict(&self) -> Option<SocketAddr> {
+        self.join.name_conflict
+    }
+
+    /// The state of a member.
+    pub fn state(&self, name: &Name) -> MemberState {
+        self.members.get(name).map_or(MemberState::NeverSeen, |member| member.state())
+    }
+
+    /// A member as seen from here.
+    pub fn view(&self, name: &Name, now: Duration) -> View {
+        match self.members.get(name) {
+            None => View { state: MemberState::NeverSeen, record: None, age: None },
+            Some(member) => View {
+                state: member.state(),
+                record: Some(member.record.clone()),
+                age: Some(now.saturating_sub(member.last_heard)),
+            },
+        }
+    }
+
+    /// All members that were ever heard of and are remembered, this one left out.
+    pub fn views(&self, now: Duration) -> impl Iterator<Item = (Name, View)> + '_ {
+        self.members.names().map(move |name| (*name, self.view(name, now)))
+    }
+
+    /// How many are seen of those that there should be. One that is kept out by a name conflict sees nobody.
+    pub fn quorum(&self) -> Quorum {
+        let alive = self.members.records().filter(|record| record.status == Status::Alive).count();
+        let seen = if self.join.name_conflict.is_some() { 0 } else { alive + 1 };
+        Quorum { seen, expected: self.settings.expected_members }
+    }
+
+    /// Where a member is reached from here.
+    pub fn address(&self, name: &Name) -> Option<SocketAddr> {
+        let stated = || self.members.get(name).map(|member| member.record.address);
+        self.settings.paths.get(name).copied().or_else(stated)
+    }
+
+    /// When [`Swim::handle`] wants [`Event::Due`] next.
+    pub fn due(&self) -> Option<Duration> {
+        if !self.started {
+            return Some(Duration::ZERO);
+        }
+        let timers = &self.timers;
+        let mut due = timers.sweep.min(timers.gossip).min(timers.sync).min(timers.probe);
+        if self.wants_to_join() {
+            due = due.min(timers.join);
+        }
+        if let Some(probe) = &self.probe {
+            due = due.min(probe.next_deadline());
+        }
+        Some(due)
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
+        if !self.started {
+            self.start(now);
+        }
+        self.absorb_stall(now);
+        match event {
+            Event::Due => {}
+            Event::Received(received) => self.on_received(received, now, actions),
+            Event::Metadata(metadata) => self.set_metadata(metadata),
+            Event::Leave => self.leave(now),
+        }
+        self.run_timers(now, actions);
+    }
+
+    /// Sets the first deadlines, spread so that members started together do not act together.
+    fn start(&mut self, now: Duration) {
+        self.started = true;
+        let spread = |rng: &mut fastrand::Rng, interval: Duration| now + interval.mul_f64(rng.f64());
+        self.timers = Timers {
+            probe: spread(&mut self.rng, self.settings.probe_interval),
+            gossip: spread(&mut self.rng, self.settings.gossip_interval),
+            sync: spread(&mut self.rng, self.settings.sync_interval),
+            join: now,
+            reminder: now,
+            sweep: now + self.settings.gossip_interval,
+        };
+    }
+
+    fn set_metadata(&mut self, metadata: Metadata) {
+        if metadata == self.local.metadata {
+            return;
+        }
+        self.local.metadata = metadata;
+        self.local.metadata_version += 1;
+        self.updates.enqueue(self.local.name);
+    }
+
+    fn leave(&mut self, now: Duration) {
+        self.leaving = true;
+        self.local.status = Status::Left;
+        self.local.metadata.stage = Stage::Leaving;
+        self.local.metadata_version += 1;
+        self.updates.enqueue(self.local.name);
+        self.timers.gossip = now;
+    }
+
+    /// Guards against a process that was stopped and takes all others for silent: what waited through its own stall
+    /// proves nothing, and its deadlines go on from here.
+    fn absorb_stall(&mut self, now: Duration) {
+        let stall = self.due().map_or(Duration::ZERO, |due| now.saturating_sub(due));
+        if stall < self.settings.probe_timeout {
+            return;
+        }
+        self.counts.stalls += 1;
+        self.members.postpone(stall);
+        if let Some(probe) = &mut self.probe {
+            probe.postpone(stall);
+        }
+        self.timers.probe += stall;
+        let missed_probes = stall.as_secs_f64() / self.settings.probe_interval.as_secs_f64();
+        self.health.degrade(1 + missed_probes as u32);
+    }
+
+    fn run_timers(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if self.wants_to_join() && now >= self.timers.join {
+            self.ask_to_join(now, actions);
+        }
+        if now >= self.timers.sweep {
+            self.timers.sweep = now + self.settings.gossip_interval;
+            self.sweep(now, actions);
+        }
+        self.advance_probe(now, actions);
+        if self.join.name_conflict.is_some() {
+            return self.postpone_protocol(now);
+        }
+        if now >= self.timers.probe && self.probe.is_none() {
+            self.timers.probe = now + self.health.scale(self.settings.probe_interval);
+            self.begin_probe(now, actions);
+        }
+        if now >= self.timers.gossip {
+            self.timers.gossip = now + self.settings.gossip_interval;
+            self.gossip(actions);
+        }
+        if now >= self.timers.sync {
+            self.timers.sync = now + self.settings.sync_interval.mul_f64(0.75 + 0.5 * self.rng.f64());
+            self.sync(actions);
+        }
+    }
+
+    /// One whose name is held by another takes no part but asking to join.
+    fn postpone_protocol(&mut self, now: Duration) {
+        let later = now + self.settings.probe_interval;
+        (self.timers.probe, self.timers.gossip, self.timers.sync) = (later, later, later);
+    }
+
+    /// Ends what has timed out: suspicions, records of members that are no more, and relayed pings.
+    fn sweep(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        self.expire_suspicions(now, actions);
+        if now >= self.timers.reminder && self.join.name_conflict.is_none() {
+            self.timers.reminder = now + self.settings.probe_interval;
+            self.remind_suspects(actions);
+        }
+        self.forget_departed(now);
+        self.expire_relays(now, actions);
+    }
+
+    fn next_sequence(&mut self) -> u32 {
+        self.sequence = self.sequence.wrapping_add(1);
+        self.sequence
+    }
+
+    /// Addresses of up to `count` members whose records pass, drawn at random.
+    fn random_addresses(&mut self, count: usize, eligible: impl Fn(&Record) -> bool) -> Vec<SocketAddr> {
+        let names: Vec<Name> =
+            self.members.records().filter(|record| eligible(record)).map(|record| record.name).collect();
+        let draws = names.len().min(count);
+        let drawn: BTreeSet<usize> = (0..draws).map(|_| self.rng.usize(0..names.len())).collect();
+        drawn.into_iter().filter_map(|index| self.address(&names[index])).collect()
+    }
+}
--- /dev/null
+++ b/membership/src/view.rs
@@ -0,0 +1,85 @@
+//! What a caller sees: states of members, the quorum and counters.
+
+use crate::record::{Record, Status};
+use std::time::Duration;
+
+/// The state of a member as seen from here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum MemberState {
+    /// Nothing of it has ever come here: nothing is known, not even that it is dead.
+    NeverSeen,
+    /// It answers, by the latest word.
+    Alive,
+    /// It did not answer a probe, and has not refuted the suspicion yet.
+    Suspect,
+    /// Its suspicion timed out. It may be cut off from here and run.
+    Dead,
+    /// It said that it leaves.
+    Left,
+}
+
+impl From<Status> for MemberState {
+    fn from(status: Status) -> MemberState {
+        match status {
+            Status::Alive => MemberState::Alive,
+            Status::Suspect(_) => MemberState::Suspect,
+            Status::Dead => MemberState::Dead,
+            Status::Left => MemberState::Left,
+        }
+    }
+}
+
+impl MemberState {
+    /// The text for log lines and status output.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            MemberState::NeverSeen => "never seen",
+            MemberState::Alive => "alive",
+            MemberState::Suspect => "suspected",
+            MemberState::Dead => "gone",
+            MemberState::Left => "left",
+        }
+    }
+}
+
+/// A member as seen from here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct View {
+    /// Its state.
+    pub state: MemberState,
+    /// The latest record of it, if there is one.
+    pub record: Option<Record>,
+    /// Time since its own latest datagram, or since word of it by others if none ever came.
+    pub age: Option<Duration>,
+}
+
+/// Does this ingress see more than half of those that there should be?
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quorum {
+    /// Members that answer, this one included; suspects do not count.
+    pub seen: usize,
+    /// Members that there should be.
+    pub expected: usize,
+}
+
+impl Quorum {
+    /// More than half, so that two sides of a partition cannot both say so.
+    pub fn holds(&self) -> bool {
+        2 * self.seen > self.expected
+    }
+}
+
+/// Counters since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Probes begun.
+    pub probes: u64,
+    /// Probes that nobody answered.
+    pub failed_probes: u64,
+    /// Suspicions of this ingress that it has refuted.
+    pub refutations: u64,
+    /// Stalls of this process that were noticed.
+    pub stalls: u64,
+    /// Records that were not kept, for the bound on members.
+    pub rejected_records: u64,
+}
--- a/membership/src/wire.rs
+++ b/membership/src/wire.rs
@@ -1,6 +1,6 @@
-//! Bodies of datagrams: one message, and news behind it as far as there is room.
+//! Bodies of datagrams: one message, and records piggybacked on it as far as there is room.
 
-use crate::guard::MOST_BODY;
+use crate::guard::MAX_BODY_BYTES;
 use crate::record::{Name, Record};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -8,65 +8,65 @@
 /// What a datagram asks or answers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
-    /// Do you answer?
+    /// A probe of this sequence number.
     Ping(u32),
-    /// Yes, to the ping of this number.
+    /// The answer to the ping of this sequence number.
     Ack(u32),
-    /// Ping this member for me, and pass its answer on under my number.
-    Indirect {
-        /// The asker's number.
-        number: u32,
-        /// Whom.
-        name: Name,
-        /// Where it listens, for one who has no path of its own there.
+    /// Asks the receiver to ping the target, and to pass its ack on under this sequence number.
+    PingReq {
+        /// The requester's sequence number.
+        sequence: u32,
+        /// The member to ping.
+        target: Name,
+        /// Where it listens, for a receiver that has no path of its own there.
         address: SocketAddr,
     },
-    /// I asked for you and have heard nothing so far.
+    /// The target of the ping-req of this sequence number has not answered so far.
     Nack(u32),
-    /// I want to belong; the sender's own record follows.
+    /// Asks to join; the sender's own record follows.
     Join,
-    /// Nothing but news.
+    /// Nothing but records.
     Gossip,
-    /// All that I hold comes to this sum. If yours differs, tell what you hold of the names after this one.
+    /// Compares digests. If the receiver's differs, it is to send its records of the names after this one.
     Sync {
-        /// The sum over all records.
-        sum: u64,
+        /// The sender's digest of all records.
+        digest: u64,
         /// Where to go on; empty at the beginning.
         after: Name,
-        /// Asked in answer to the other's own question: not to be asked back.
-        back: bool,
+        /// Sent in answer to the receiver's own question: not to be asked back.
+        is_reply: bool,
     },
-    /// What I hold, up to the name where I have stopped; empty: that is all.
+    /// A page of records that ends at this name; empty: it is the last.
     Page(Name),
-    /// Your name is held by a process at this address that is taken to run.
-    Held(SocketAddr),
+    /// The receiver's name is held by a process at this address that is taken to run.
+    NameConflict(SocketAddr),
 }
 
-/// A body under the making.
+/// A body that is being built.
 #[derive(Debug)]
 pub struct Body(Vec<u8>);
 
 impl Body {
     /// One with this message.
     pub fn new(message: &Message) -> Body {
-        let mut space = [0; MOST_BODY];
-        let used = postcard::to_slice(message, &mut space).map_or(0, |b| b.len());
-        Body(space[..used].to_vec())
+        let mut buffer = [0; MAX_BODY_BYTES];
+        let used = postcard::to_slice(message, &mut buffer).map_or(0, |bytes| bytes.len());
+        Body(buffer[..used].to_vec())
     }
 
     /// Adds a record; false if there is no room for it.
     #[must_use]
     pub fn add(&mut self, record: &Record) -> bool {
-        let mut space = [0; MOST_BODY];
-        let Ok(bytes) = postcard::to_slice(record, &mut space) else { return false };
-        let fits = self.0.len() + bytes.len() <= MOST_BODY;
+        let mut buffer = [0; MAX_BODY_BYTES];
+        let Ok(bytes) = postcard::to_slice(record, &mut buffer) else { return false };
+        let fits = self.0.len() + bytes.len() <= MAX_BODY_BYTES;
         if fits {
             self.0.extend_from_slice(bytes);
         }
         fits
     }
 
-    /// Its bytes.
+    /// The bytes of the body.
     pub fn bytes(self) -> Vec<u8> {
         self.0
     }
--- a/membership/tests/checker.rs
+++ b/membership/tests/checker.rs
@@ -24,15 +24,16 @@
 struct Node(Swim);
 
 impl Node {
-    fn start(n: usize, life: u64) -> Node {
-        let mut swim = Swim::new(Settings::new(MEMBERS), name(n), address(n), life, Facts::default(), 1);
+    fn start(n: usize, generation: u64) -> Node {
+        let mut swim =
+            Swim::new(Settings::new(MEMBERS), name(n), address(n), generation, Metadata::default(), 1);
         swim.handle(NOW, Event::Due, &mut Vec::new());
         Node(swim)
     }
 
     /// What it holds of a member, itself included. Who suspects is no part of it.
     fn held(&self, of: usize) -> Option<Record> {
-        let me = self.0.me();
+        let me = self.0.local();
         let record = if me.name == name(of) { Some(me.clone()) } else { self.0.view(&name(of), NOW).record };
         record.map(|r| match r.status {
             Status::Suspect(_) => Record { status: Status::Suspect(0), ..r },
@@ -45,11 +46,11 @@
     }
 
     /// Takes in a word as if this member had told it.
-    fn hear(&mut self, from: usize, life: u64, word: &Record) {
+    fn hear(&mut self, from: usize, generation: u64, word: &Record) {
         let message = wire::Message::Gossip;
-        let news = vec![word.clone()];
-        let event = Event::Heard { at: address(from), from: name(from), life, message, news };
-        self.0.handle(NOW, event, &mut Vec::new());
+        let updates = vec![word.clone()];
+        let received = Received { source: address(from), sender: name(from), generation, message, updates };
+        self.0.handle(NOW, Event::Received(received), &mut Vec::new());
     }
 }
 
@@ -78,7 +79,7 @@
     crashes: u8,
     leaves: u8,
     left: bool,
-    /// A member held the third as left, and later held that same life otherwise.
+    /// A member held the third as left, and later held that same generation otherwise.
     came_back: bool,
 }
 
@@ -94,7 +95,7 @@
 
 impl Ord for Word {
     fn cmp(&self, other: &Word) -> std::cmp::Ordering {
-        let of = |w: &Word| (w.0.name, w.0.life, w.0.round, w.0.status, w.0.version);
+        let of = |w: &Word| (w.0.name, w.0.generation, w.0.incarnation, w.0.status, w.0.metadata_version);
         of(self).cmp(&of(other))
     }
 }
@@ -128,12 +129,14 @@
         let mut state = state.clone();
         for _ in 0..8 {
             for from in 0..MEMBERS {
-                let Some(life) = state.nodes[from].as_ref().map(|n| n.0.me().life) else { continue };
+                let Some(generation) = state.nodes[from].as_ref().map(|n| n.0.local().generation) else {
+                    continue;
+                };
                 let words: Vec<Record> =
                     state.nodes[from].as_ref().unwrap().all().into_iter().flatten().collect();
                 for to in (0..MEMBERS).filter(|to| *to != from) {
                     let Some(node) = &mut state.nodes[to] else { continue };
-                    words.iter().for_each(|word| node.hear(from, life, word));
+                    words.iter().for_each(|word| node.hear(from, generation, word));
                 }
             }
         }
@@ -190,14 +193,14 @@
         let mut state = last.clone();
         let held_left = |s: &State, n: usize| {
             let held = s.nodes[n].as_ref().and_then(|node| node.held(2));
-            held.filter(|r| r.status == Status::Left).map(|r| r.life)
+            held.filter(|r| r.status == Status::Left).map(|r| r.generation)
         };
         match step {
             Step::Suspect(n, of) | Step::Condemn(n, of) => {
                 let suspect = matches!(step, Step::Suspect(..));
                 state.suspicions -= u8::from(suspect);
                 let node = state.nodes[n].as_mut()?;
-                let status = if suspect { Status::Suspect(n as u32 + 1) } else { Status::Gone };
+                let status = if suspect { Status::Suspect(n as u32 + 1) } else { Status::Dead };
                 let word = Record { status, ..node.held(of)? };
                 // Its own finding goes the way of any word.
                 let third = 3 - n - of;
@@ -209,7 +212,7 @@
                 state.nodes[2] = None;
             }
             Step::Return => {
-                let lives = state.words.iter().filter(|w| w.0.name == name(2)).map(|w| w.0.life);
+                let lives = state.words.iter().filter(|w| w.0.name == name(2)).map(|w| w.0.generation);
                 state.nodes[2] = Some(Node::start(2, lives.max().unwrap_or(0) + 1));
             }
             Step::Leave => {
@@ -223,17 +226,17 @@
         Fleet::told(&mut state);
         for n in 0..2 {
             let before = held_left(last, n);
-            state.came_back |= before.is_some_and(|life| {
+            state.came_back |= before.is_some_and(|generation| {
                 let held = state.nodes[n].as_ref().and_then(|node| node.held(2));
-                held.is_some_and(|r| r.life == life && r.status != Status::Left)
+                held.is_some_and(|r| r.generation == generation && r.status != Status::Left)
             });
         }
         (state != *last).then_some(state)
     }
 
     fn within_boundary(&self, state: &State) -> bool {
-        // Refutations need no more rounds than there are suspicions.
-        state.words.iter().all(|w| w.0.round <= 2 && w.0.life <= 3)
+        // Refutations need no more incarnations than there are suspicions.
+        state.words.iter().all(|w| w.0.incarnation <= 2 && w.0.generation <= 3)
     }
 
     fn properties(&self) -> Vec<Property<Self>> {
@@ -254,23 +257,20 @@
             ),
             Property::always("who left never comes back by old news", |_, state: &State| !state.came_back),
             Property::always(
-                "nobody tells of a life or round that its member has not had",
+                "nobody tells of a generation or incarnation that its member has not had",
                 |_, state: &State| {
                     state.nodes.iter().enumerate().all(|(n, node)| {
                         let Some(truth) = node.as_ref().and_then(|node| node.held(n)) else { return true };
-                        state
-                            .nodes
-                            .iter()
-                            .flatten()
-                            .filter_map(|other| other.held(n))
-                            .all(|held| (held.life, held.round) <= (truth.life, truth.round))
+                        state.nodes.iter().flatten().filter_map(|other| other.held(n)).all(|held| {
+                            (held.generation, held.incarnation) <= (truth.generation, truth.incarnation)
+                        })
                     })
                 },
             ),
             Property::sometimes("a member that runs is held gone", |_, state: &State| {
                 let gone = |n: usize, of: usize| {
                     let held = state.nodes[n].as_ref().and_then(|node| node.held(of));
-                    held.is_some_and(|r| r.status == Status::Gone)
+                    held.is_some_and(|r| r.status == Status::Dead)
                 };
                 (0..MEMBERS)
                     .any(|n| (0..MEMBERS).any(|of| n != of && state.nodes[of].is_some() && gone(n, of)))
--- a/membership/tests/common/mod.rs
+++ b/membership/tests/common/mod.rs
@@ -44,8 +44,8 @@
     pub at: Duration,
     pub by: usize,
     pub of: Name,
-    pub from: Standing,
-    pub to: Standing,
+    pub from: MemberState,
+    pub to: MemberState,
 }
 
 pub struct Fleet {
@@ -111,10 +111,10 @@
     /// The member of number `n` starts anew under the name of another.
     pub fn start_as(&mut self, n: usize, named: usize) {
         self.lives += 1;
-        let facts = Facts { stage: Stage::Serving, ..Facts::default() };
+        let metadata = Metadata { stage: Stage::Serving, ..Metadata::default() };
         let seed = self.rng.u64(..);
-        let life = 1_700_000_000_000 + self.lives;
-        let swim = Swim::new(self.settings.clone(), name(named), address(n), life, facts, seed);
+        let generation = 1_700_000_000_000 + self.lives;
+        let swim = Swim::new(self.settings.clone(), name(named), address(n), generation, metadata, seed);
         let guard = Guard::new("test", vec![Key::new(&[7; 32])], name(named), 4096);
         self.members.insert(n, Member { swim, guard, stopped: false, waiting: Vec::new() });
         self.tell(n, Event::Due);
@@ -166,18 +166,18 @@
         let Some(member) = self.members.get_mut(&n) else { return };
         let mut actions = Vec::new();
         member.swim.handle(self.now, event, &mut actions);
-        let life = member.swim.me().life;
+        let generation = member.swim.local().generation;
         self.arm(n);
         for action in actions {
             match action {
                 Action::Send { to, body } => {
-                    let bytes = self.members.get_mut(&n).unwrap().guard.seal(life, &body);
+                    let bytes = self.members.get_mut(&n).unwrap().guard.seal(generation, &body);
                     self.send(n, to, bytes);
                 }
                 Action::Changed { name, from, to } => {
                     self.changes.push(Change { at: self.now, by: n, of: name, from, to });
                 }
-                Action::Refused { by } => self.refused.push((n, by)),
+                Action::NameConflict { holder } => self.refused.push((n, holder)),
                 Action::Joined => {}
             }
         }
@@ -216,9 +216,10 @@
             return;
         }
         let Ok(opened) = member.guard.open(bytes) else { return };
-        let (message, news) = wire::read(opened.body).expect("our own form");
-        let (from, life) = (opened.from, opened.life);
-        self.tell(n, Event::Heard { at, from, life, message, news });
+        let (message, updates) = wire::read(opened.body).expect("our own form");
+        let (sender, generation) = (opened.sender, opened.generation);
+        let received = Received { source: at, sender, generation, message, updates };
+        self.tell(n, Event::Received(received));
     }
 
     /// The next thing that happens; false once nothing will before that time.
@@ -257,21 +258,21 @@
         None
     }
 
-    pub fn standing(&self, by: usize, of: usize) -> Standing {
-        self.members[&by].swim.standing(&name(of))
+    pub fn state(&self, by: usize, of: usize) -> MemberState {
+        self.members[&by].swim.state(&name(of))
     }
 
     /// All who run hold exactly each other alive, in the same words.
     pub fn agree(&self) -> bool {
-        let sums: BTreeSet<u64> = self.members.values().map(|m| m.swim.sum()).collect();
+        let sums: BTreeSet<u64> = self.members.values().map(|m| m.swim.digest()).collect();
         let running: Vec<usize> = self.members.keys().copied().collect();
-        let alive = |a: &usize, b: &usize| a == b || self.standing(*a, *b) == Standing::Alive;
+        let alive = |a: &usize, b: &usize| a == b || self.state(*a, *b) == MemberState::Alive;
         sums.len() == 1 && running.iter().all(|a| running.iter().all(|b| alive(a, b)))
     }
 
     /// How often a member that ran and was not cut off came to be held so.
-    pub fn falsely(&self, to: Standing) -> usize {
-        let runs = |name: &Name| self.members.values().any(|m| m.swim.me().name == *name && !m.stopped);
+    pub fn falsely(&self, to: MemberState) -> usize {
+        let runs = |name: &Name| self.members.values().any(|m| m.swim.local().name == *name && !m.stopped);
         self.changes.iter().filter(|c| c.to == to && runs(&c.of)).count()
     }
 }
--- a/membership/tests/fleet.rs
+++ b/membership/tests/fleet.rs
@@ -12,7 +12,8 @@
 fn bound(members: usize) -> std::time::Duration {
     let s = settings(members);
     let logarithm = (members as f64).log10().max(1.0);
-    s.period * members as u32 + (s.period * s.suspicion * s.doubt).mul_f64(logarithm) + s.period * 4
+    let longest = s.probe_interval * s.suspicion_multiplier * s.suspicion_max_multiplier;
+    s.probe_interval * members as u32 + longest.mul_f64(logarithm) + s.probe_interval * 4
 }
 
 #[test]
@@ -21,10 +22,10 @@
         let mut f = Fleet::of(5, settings(5), seed);
         f.changes.clear();
         f.kill(3);
-        let took = f.until(bound(5), |f| f.members.keys().all(|n| f.standing(*n, 3) == Standing::Gone));
+        let took = f.until(bound(5), |f| f.members.keys().all(|n| f.state(*n, 3) == MemberState::Dead));
         println!("seen by all after {took:?}");
         assert!(took.is_some_and(|t| t < ms(20_000)), "{took:?}");
-        assert_eq!((f.falsely(Standing::Suspected), f.falsely(Standing::Gone)), (0, 0));
+        assert_eq!((f.falsely(MemberState::Suspect), f.falsely(MemberState::Dead)), (0, 0));
         assert!(f.longest <= 256);
     }
 }
@@ -41,7 +42,7 @@
     // And long after it was held gone.
     f.kill(2);
     f.run(ms(60_000));
-    assert_eq!(f.standing(0, 2), Standing::Gone);
+    assert_eq!(f.state(0, 2), MemberState::Dead);
     f.start(2);
     assert!(f.until(ms(10_000), |f| f.agree()).is_some());
 }
@@ -62,7 +63,7 @@
     let mut f = Fleet::of(5, settings(5), 3);
     assert!(f.members[&4].swim.quorum().holds());
     (0..4).for_each(|n| f.kill(n));
-    let alone = |f: &Fleet| (0..4).all(|n| f.standing(4, n) == Standing::Gone);
+    let alone = |f: &Fleet| (0..4).all(|n| f.state(4, n) == MemberState::Dead);
     assert!(f.until(ms(180_000), alone).is_some());
     assert!(!f.members[&4].swim.quorum().holds());
     (0..4).for_each(|n| f.start(n));
@@ -79,7 +80,7 @@
         f.wake(1);
         let took = f.until(ms(30_000), |f| f.agree());
         assert!(took.is_some(), "{seconds} s: woken and never agreed on");
-        let by_it = f.changes.iter().filter(|c| c.by == 1 && c.to != Standing::Alive).count();
+        let by_it = f.changes.iter().filter(|c| c.by == 1 && c.to != MemberState::Alive).count();
         assert_eq!(by_it, 0, "{seconds} s: its own view was of its own stop");
     }
 }
@@ -114,7 +115,7 @@
         f.run(ms(2000));
     }
     assert!(f.until(ms(40_000), |f| f.agree()).is_some());
-    assert_eq!(f.falsely(Standing::Gone), 0, "2 s are under a suspicion's least time");
+    assert_eq!(f.falsely(MemberState::Dead), 0, "2 s are under a suspicion's least time");
 }
 
 #[test]
@@ -123,13 +124,13 @@
     f.changes.clear();
     f.cut.insert((1, 0));
     f.run(ms(60_000));
-    assert_eq!(f.falsely(Standing::Gone), 0, "0 hears of 1 through the others");
+    assert_eq!(f.falsely(MemberState::Dead), 0, "0 hears of 1 through the others");
     // A ring of them.
     for n in 0..5 {
         f.cut.insert((n, (n + 1) % 5));
     }
     f.run(ms(60_000));
-    assert_eq!(f.falsely(Standing::Gone), 0);
+    assert_eq!(f.falsely(MemberState::Dead), 0);
 }
 
 #[test]
@@ -139,8 +140,8 @@
         f.changes.clear();
         f.net = Net { loss: 0.3, twice: 0.3, least: ms(1), most: ms(200) };
         f.run(ms(60_000));
-        println!("falsely suspected {} times", f.falsely(Standing::Suspected));
-        assert_eq!(f.falsely(Standing::Gone), 0);
+        println!("falsely suspected {} times", f.falsely(MemberState::Suspect));
+        assert_eq!(f.falsely(MemberState::Dead), 0);
         f.net = CALM;
         assert!(f.until(ms(30_000), |f| f.agree()).is_some());
     }
@@ -155,7 +156,7 @@
         f.net = Net { loss: 0.2, twice: 0.2, least: ms(1), most: ms(240) };
         f.cut.insert((1, 0));
         f.run(ms(60_000));
-        falsely += f.falsely(Standing::Gone);
+        falsely += f.falsely(MemberState::Dead);
     }
     assert_eq!(falsely, 0, "0 hears that 1 suspects it, and 1 that it does not, through the others");
 }
@@ -170,11 +171,11 @@
         f.tell(2, Event::Leave);
         f.run(ms(2000));
         f.kill(2);
-        assert!([0, 1, 3, 4].iter().all(|n| f.standing(*n, 2) == Standing::Left));
+        assert!([0, 1, 3, 4].iter().all(|n| f.state(*n, 2) == MemberState::Left));
         f.cut.clear();
         f.run(ms(60_000));
-        assert!([0, 1, 3, 4, 5].iter().all(|n| f.standing(*n, 2) == Standing::Left));
-        let back = f.changes.iter().filter(|c| c.from == Standing::Left).count();
+        assert!([0, 1, 3, 4, 5].iter().all(|n| f.state(*n, 2) == MemberState::Left));
+        let back = f.changes.iter().filter(|c| c.from == MemberState::Left).count();
         assert_eq!(back, 0);
     }
 }
@@ -188,36 +189,36 @@
     assert_eq!(f.members[&9].swim.quorum().seen, 0);
     assert!([0, 1, 2, 4].iter().all(|n| {
         let view = f.members[n].swim.view(&name(3), f.now);
-        view.standing == Standing::Alive && view.record.unwrap().address == address(3)
+        view.state == MemberState::Alive && view.record.unwrap().address == address(3)
     }));
     f.kill(3);
     let held = |f: &Fleet| {
         [0, 1, 2, 4].iter().all(|n| {
             let view = f.members[n].swim.view(&name(3), f.now);
-            view.standing == Standing::Alive && view.record.unwrap().address == address(9)
+            view.state == MemberState::Alive && view.record.unwrap().address == address(9)
         })
     };
     assert!(f.until(ms(60_000), held).is_some(), "once it is gone the other is let in");
-    assert_eq!(f.members[&9].swim.held(), None);
+    assert_eq!(f.members[&9].swim.name_conflict(), None);
 }
 
 #[test]
 fn a_name_that_was_never_heard_of_is_not_gone() {
     let f = Fleet::of(3, settings(5), 7);
     let view = f.members[&0].swim.view(&name(4), f.now);
-    assert_eq!((view.standing, view.age, view.record), (Standing::NeverSeen, None, None));
+    assert_eq!((view.state, view.age, view.record), (MemberState::NeverSeen, None, None));
     assert!(f.members[&0].swim.quorum().holds(), "three of five");
 }
 
 #[test]
 fn facts_spread_and_only_their_own_writer_changes_them() {
     let mut f = Fleet::of(20, settings(20), 8);
-    let facts = Facts { zone: "east".try_into().unwrap(), stage: Stage::Leaving, ..Facts::default() };
-    f.tell(7, Event::Facts(facts.clone()));
+    let facts = Metadata { zone: "east".try_into().unwrap(), stage: Stage::Leaving, ..Metadata::default() };
+    f.tell(7, Event::Metadata(facts.clone()));
     let known = |f: &Fleet| {
         (0..20)
             .filter(|n| *n != 7)
-            .all(|n| f.members[&n].swim.view(&name(7), f.now).record.is_some_and(|r| r.facts == facts))
+            .all(|n| f.members[&n].swim.view(&name(7), f.now).record.is_some_and(|r| r.metadata == facts))
     };
     let took = f.until(ms(5000), known);
     println!("told to all after {took:?}");
@@ -232,12 +233,12 @@
         f.kill(n);
     }
     let gone = |f: &Fleet| {
-        f.members.keys().all(|n| [10, 50, 90].iter().all(|d| f.standing(*n, *d) == Standing::Gone))
+        f.members.keys().all(|n| [10, 50, 90].iter().all(|d| f.state(*n, *d) == MemberState::Dead))
     };
     let took = f.until(bound(100), gone);
     println!("seen by all after {took:?}");
     assert!(took.is_some());
-    assert_eq!(f.falsely(Standing::Gone), 0);
+    assert_eq!(f.falsely(MemberState::Dead), 0);
 }
 
 #[test]
@@ -247,7 +248,7 @@
         f.net.loss = 0.2;
         f.kill(4);
         f.run(ms(30_000));
-        (f.datagrams, f.bytes, f.changes.len(), f.members[&0].swim.sum())
+        (f.datagrams, f.bytes, f.changes.len(), f.members[&0].swim.digest())
     };
     assert_eq!(play(11), play(11));
     assert_ne!(play(11), play(12));
--- a/membership/tests/records.rs
+++ b/membership/tests/records.rs
@@ -7,15 +7,24 @@
     let status = prop_oneof![
         Just(Status::Alive),
         (0u32..3).prop_map(Status::Suspect),
-        Just(Status::Gone),
+        Just(Status::Dead),
         Just(Status::Left)
     ];
-    (0u64..3, 0u32..3, status, 0u32..3).prop_map(|(life, round, status, version)| {
-        let zone = format!("z{life}{version}");
-        // What one writer tells under one version is one thing, and it listens at one address in one life.
-        let facts = Facts { zone: zone.as_str().try_into().unwrap(), ..Facts::default() };
-        let address = ([127, 0, 0, 1], 7000 + life as u16).into();
-        Record { name: Name::from("n1").unwrap(), address, life, round, status, version, facts }
+    (0u64..3, 0u32..3, status, 0u32..3).prop_map(|(generation, incarnation, status, metadata_version)| {
+        let zone = format!("z{generation}{metadata_version}");
+        // What one writer tells under one version is one thing, and it listens at one address in one
+        // generation.
+        let metadata = Metadata { zone: zone.as_str().try_into().unwrap(), ..Metadata::default() };
+        let address = ([127, 0, 0, 1], 7000 + generation as u16).into();
+        Record {
+            name: Name::from("n1").unwrap(),
+            address,
+            generation,
+            incarnation,
+            status,
+            metadata_version,
+            metadata,
+        }
     })
 }
 
@@ -44,9 +53,9 @@
     }
 
     #[test]
-    fn who_left_stays_so_for_its_life(words in prop::collection::vec(record(), 1..8)) {
+    fn who_left_stays_so_for_its_generation(words in prop::collection::vec(record(), 1..8)) {
         let held = merged(&words);
-        let left = words.iter().any(|w| w.status == Status::Left && w.life == held.life);
+        let left = words.iter().any(|w| w.status == Status::Left && w.generation == held.generation);
         prop_assert_eq!(left, held.status == Status::Left);
     }
 
