Admission: small modules for the gate, and reputation, reason, history by their names

Now: event (interface), reputation, gate/{mod, connect, request, eviction, connections, histories}, and history.rs for what was the book: a segmented LRU with second chances. Standing is Reputation, Why is Reason, Conn is ConnectionId, Arrival is Gcra, Place is Connection; `busy: Option<bool>` is an enum Activity, and the sizes of the caches are a struct in place of a tuple of four.

Those of history.rs stay: the cache is private, and what it forgets first is worth a test of its own.

--- a/admission/src/lib.rs
+++ b/admission/src/lib.rs
@@ -5,7 +5,7 @@
 //! Times are counted from any fixed moment; all of a gate's must be counted from the same one.
 //!
 //! ```
-//! use roseyard_admission::{Action, Conn, Event, Gate, Policy, Why};
+//! use roseyard_admission::{Action, ConnectionId, Event, Gate, Policy, Reason};
 //! use std::time::Duration;
 //!
 //! let at = |ms| Duration::from_secs(60) + Duration::from_millis(ms);
@@ -13,25 +13,29 @@
 //! let mut out = Vec::new();
 //! for n in 0..3 {
 //!     let peer = "192.0.2.1".parse().unwrap();
-//!     gate.handle(at(50 * n), Event::Connected { conn: Conn(n), peer }, &mut out);
+//!     gate.handle(at(50 * n), Event::Connected { conn: ConnectionId(n), peer }, &mut out);
 //! }
-//! assert!(matches!(out[..], [Action::Close { conn: Conn(0), why: Why::Room }, ..]));
+//! assert!(matches!(out[..], [Action::Close { conn: ConnectionId(0), why: Reason::Room }, ..]));
 //! ```
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod address;
-mod book;
 mod budget;
+mod event;
 mod gate;
+mod history;
 mod lists;
 mod policy;
 mod rate;
+mod reputation;
 mod snapshot;
 
 pub use address::{Listed, Prefixes};
 pub use budget::{Budget, Share, TooFew, Use, USES};
-pub use gate::{Action, Conn, Event, Gate, Standing, Why, REASONS};
+pub use event::{Action, ConnectionId, Event, Reason, REASONS};
+pub use gate::{CacheSizes, Gate};
 pub use policy::Policy;
-pub use rate::{Arrival, Rate};
+pub use rate::{Gcra, Rate};
+pub use reputation::Reputation;
 pub use snapshot::{Remembered, Snapshot, Unusable, MOST_BYTES};
--- a/admission/src/policy.rs
+++ b/admission/src/policy.rs
@@ -1,6 +1,7 @@
 //! What the operator decides.
 
 use crate::address::{Listed, Prefixes};
+use crate::history::History;
 use crate::rate::Rate;
 use std::time::Duration;
 
@@ -94,4 +95,13 @@
             warm_up: Duration::from_secs(10),
         }
     }
+    /// Has the key of this history been served enough?
+    pub(crate) fn is_known(&self, history: &History, now: Duration) -> bool {
+        history.served.at(now, self.known_half_life) >= self.known_after
+    }
+
+    /// Does enough speak against the key of this history?
+    pub(crate) fn is_suspect(&self, history: &History, now: Duration) -> bool {
+        history.faults.at(now, self.suspect_half_life) >= self.suspect_after
+    }
 }
--- a/ingress/src/routing/doors.rs
+++ b/ingress/src/routing/doors.rs
@@ -2,15 +2,15 @@
 
 use super::{Io, Party};
 use crate::transport::{accept, is_fd_shortage, listening_at, spare, Key, Stream};
-use roseyard_admission::{Action, Conn, Event, Gate, Policy, Use, Why, REASONS};
+use roseyard_admission::{Action, ConnectionId, Event, Gate, Policy, Reason, Use, REASONS};
 use rustix::fd::OwnedFd;
 use rustix::io::Errno;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 /// The name of a client's connection to admission.
-pub(super) fn conn(key: Key) -> Conn {
-    Conn(key.pack())
+pub(super) fn conn(key: Key) -> ConnectionId {
+    ConnectionId(key.pack())
 }
 
 /// What the listener gave.
@@ -154,9 +154,9 @@
         self.report = None;
         let (counts, refused) = (self.gate.counts(), self.gate.refused());
         let (before, refused_before) = std::mem::replace(&mut self.told, (counts, refused));
-        let since = |why: Why| counts[why as usize] - before[why as usize];
+        let since = |why: Reason| counts[why as usize] - before[why as usize];
         let told = REASONS.iter().filter(|why| since(**why) > 0);
-        let mut words: Vec<String> = told.map(|why| format!("{} {}", why.word(), since(*why))).collect();
+        let mut words: Vec<String> = told.map(|why| format!("{} {}", why.as_str(), since(*why))).collect();
         if refused > refused_before {
             words.push(format!("refused {}", refused - refused_before));
         }
--- a/ingress/src/routing/front.rs
+++ b/ingress/src/routing/front.rs
@@ -8,7 +8,7 @@
 use crate::protocol::resp;
 use crate::transport::{spare, Fill, Key, Ready, Slots, Stream};
 use roseyard::{Class, CustomerId, Effect, Settings};
-use roseyard_admission::{Action, Event, Gate, Policy, Standing, Use};
+use roseyard_admission::{Action, Event, Gate, Policy, Reputation, Use};
 use roseyard_settings::Options;
 use rustix::fd::OwnedFd;
 use std::collections::{HashSet, VecDeque};
@@ -706,7 +706,7 @@
             if self.draining {
                 return self.touch(key);
             }
-            fault = self.doors.gate.standing(conn(key), io.now) <= Some(Standing::Silent);
+            fault = self.doors.gate.reputation(conn(key), io.now) <= Some(Reputation::Silent);
         }
         self.gone(key, fault, core, io);
     }
--- a/ingress/src/routing/members.rs
+++ b/ingress/src/routing/members.rs
@@ -3,7 +3,7 @@
 
 use super::{Io, Party};
 use crate::transport::Datagrams;
-use roseyard_admission::{Arrival, Rate};
+use roseyard_admission::{Gcra, Rate};
 use roseyard_membership::{
     wire, Action, Dropped, Event, Guard, Key, MemberState, Metadata, Name, Received, Settings, Stage, Swim,
     View,
@@ -77,7 +77,7 @@
     due: Option<Duration>,
     /// Datagrams that may be sent, and those that were.
     rate: Rate,
-    sent: Arrival,
+    sent: Gcra,
     counts: BTreeMap<&'static str, u64>,
     dropped: BTreeMap<Dropped, u64>,
     actions: Vec<Action>,
@@ -159,7 +159,7 @@
             socket,
             due: None,
             rate: rate(operator),
-            sent: Arrival::default(),
+            sent: Gcra::default(),
             counts: BTreeMap::new(),
             dropped: BTreeMap::new(),
             actions: Vec::new(),
