--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod judge;
 pub mod net;
 pub mod rig;
+pub mod scale;
 pub mod scenario;
 pub mod site;
 pub mod standins;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,10 +1,11 @@
 //! `roseyard-lab`: the project's laboratory. Everything stays on loopback and stops by itself.
 #![forbid(unsafe_code)]
 
-use clap::{Parser, Subcommand};
+use clap::{CommandFactory, Parser, Subcommand};
 use comfy_table::{presets::ASCII_MARKDOWN, Table};
 use roseyard_lab::daemon::{beside, Daemon, Start};
 use roseyard_lab::flood::{self, Done, Flood, Shape};
+use roseyard_lab::scale::{self, report::RoleReport, Role, Run};
 use roseyard_lab::scenario::{self, Scenario};
 use roseyard_lab::standins;
 use roseyard_lab::usual::{self, Outcome, Usual};
@@ -29,6 +30,36 @@
     Flood(FloodArgs),
     /// A fleet of real daemons through a scenario of faults, judged by what clients and form servers saw.
     Fleet(FleetArgs),
+    /// What each role costs by size: hollow ingresses, the real state machines and codecs in virtual time.
+    #[command(after_help = SCALE_EXAMPLES)]
+    Scale(ScaleArgs),
+}
+
+const SCALE_EXAMPLES: &str = "Examples:
+  roseyard-lab scale --role decision --sizes 17,1000,54000
+  roseyard-lab scale --role all --json scale.json";
+
+#[derive(Debug, clap::Args)]
+struct ScaleArgs {
+    /// What is measured.
+    #[arg(long, value_enum, default_value = "all")]
+    role: Role,
+    /// Sizes, such as 17,1000,54000: servers, tenants, members, addresses, routes or ingresses, by the role; each
+    /// role has its own if none are given.
+    #[arg(long, value_delimiter = ',')]
+    sizes: Vec<usize>,
+    /// Virtual seconds of a sample.
+    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=600))]
+    seconds: u64,
+    /// Samples at each size.
+    #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u16).range(1..=100))]
+    repeats: u16,
+    /// Where the figures are written as JSON; - for the standard output, in place of the tables.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// Seed of all that is drawn.
+    #[arg(long, default_value_t = 11)]
+    seed: u64,
 }
 
 #[derive(Debug, clap::Args)]
@@ -99,7 +130,52 @@
     match Cli::parse().command {
         Command::Flood(args) => run_floods(&args),
         Command::Fleet(args) => run_fleet(&args),
+        Command::Scale(args) => run_scale(&args),
+    }
+}
+
+fn run_scale(args: &ScaleArgs) -> io::Result<()> {
+    let sizes = args.role.sizes(&args.sizes).unwrap_or_else(|wrong| {
+        Cli::command().error(clap::error::ErrorKind::ValueValidation, wrong).exit();
+    });
+    let run = Run {
+        sizes,
+        seconds: args.seconds,
+        seed: args.seed,
+        repeats: usize::from(args.repeats),
+        progress: scale::on_terminal(),
+    };
+    let reports = match args.role.run(&run) {
+        Some(report) => vec![report],
+        None => Role::each().map(|role| run_apart(args, role)).collect::<io::Result<_>>()?,
+    };
+    let json = serde_json::json!({"seed": run.seed, "seconds": run.seconds, "roles": reports});
+    match args.json.as_deref().map(|path| (path, path.as_os_str() == "-")) {
+        Some((_, true)) => {
+            println!("{json:#}");
+            return Ok(());
+        }
+        Some((path, false)) => std::fs::write(path, format!("{json:#}\n"))?,
+        None => {}
+    }
+    reports.iter().for_each(|report| println!("{}", report.table()));
+    Ok(())
+}
+
+/// Runs a role in a process of its own: what one has held says nothing of the memory of the next.
+fn run_apart(args: &ScaleArgs, role: Role) -> io::Result<RoleReport> {
+    let (seconds, seed, repeats) =
+        (args.seconds.to_string(), args.seed.to_string(), args.repeats.to_string());
+    let output = std::process::Command::new(std::env::current_exe()?)
+        .args(["scale", "--role", &role.word(), "--json", "-"])
+        .args(["--seconds", &seconds, "--seed", &seed, "--repeats", &repeats])
+        .stderr(std::process::Stdio::inherit())
+        .output()?;
+    if !output.status.success() {
+        return Err(io::Error::other(format!("{}: {}", role.word(), output.status)));
     }
+    let mut told: serde_json::Value = serde_json::from_slice(&output.stdout)?;
+    Ok(serde_json::from_value(told["roles"][0].take())?)
 }
 
 fn run_fleet(args: &FleetArgs) -> io::Result<()> {
--- /dev/null
+++ b/lab/src/scale/admission.rs
@@ -0,0 +1,77 @@
+//! What admission costs, by the addresses that it remembers.
+
+use super::measure::{resident_bytes, timed};
+use super::report::{Figure, RoleReport};
+use super::Run;
+use roseyard_admission::{Conn, Event, Gate, Policy, Rate};
+use std::net::{IpAddr, Ipv4Addr};
+use std::time::Duration;
+
+/// Connections held, so that each that comes displaces one.
+const OPEN: usize = 64;
+const DECISIONS: u64 = 20_000;
+
+/// Plays one gate at each number of addresses.
+pub fn run(run: &Run) -> RoleReport {
+    let mut decision = Figure::measured("processor time of connect, displace and close", "us");
+    let mut tables = Figure::measured("tables by their own count", "MiB");
+    let mut memory = Figure::measured("memory of the gate", "MiB");
+    let mut held = Vec::new();
+    for &size in &run.sizes {
+        run.progress(&format!("admission: {size} addresses"));
+        let before = resident_bytes();
+        let mut gate = gate(size);
+        memory.push(size, &[resident_bytes().saturating_sub(before) as f64 / f64::from(1 << 20)]);
+        tables.push(size, &[gate.remembered().3 as f64 / f64::from(1 << 20)]);
+        let samples: Vec<f64> = (0..run.repeats as u64).map(|n| decide(&mut gate, size as u64, n)).collect();
+        decision.push(size, &samples);
+        held.push(gate);
+    }
+    run.report("admission", "addresses", vec![decision, memory, tables], Vec::new())
+}
+
+fn peer(number: u64) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::from_bits(0x0a00_0000 + number as u32))
+}
+
+fn gate(addresses: usize) -> Gate {
+    let rate = Some(Rate { per_second: 1e6, burst: 1e6 });
+    let policy = Policy {
+        by_address: true,
+        per_client: Some(1 << 20),
+        per_neighbourhood: Some(1 << 20),
+        rate_client: rate,
+        rate_neighbourhood: rate,
+        remembered: addresses,
+        once_room: OPEN,
+        silent_room: OPEN,
+        ..Policy::of(OPEN)
+    };
+    let (mut gate, mut out) = (Gate::new(policy, 7, Duration::ZERO), Vec::new());
+    for number in 0..addresses as u64 {
+        let conn = Conn(number << 32);
+        gate.handle(Duration::ZERO, Event::Connected { conn, peer: peer(number) }, &mut out);
+        gate.handle(Duration::ZERO, Event::Closed { conn, fault: false }, &mut out);
+        out.clear();
+    }
+    for number in 0..OPEN as u64 {
+        gate.handle(Duration::ZERO, Event::Connected { conn: Conn(number), peer: peer(number) }, &mut out);
+    }
+    gate
+}
+
+fn decide(gate: &mut Gate, addresses: u64, round: u64) -> f64 {
+    let mut out = Vec::new();
+    let (_, took) = timed(|| {
+        for n in 0..DECISIONS {
+            let serial = round * DECISIONS + n + 1;
+            let now = Duration::from_millis(20 * serial);
+            // Slots are used in turn: the next one is the longest rested.
+            let conn = Conn((serial << 32) + serial % OPEN as u64 + OPEN as u64);
+            gate.handle(now, Event::Connected { conn, peer: peer(serial % addresses) }, &mut out);
+            gate.handle(now, Event::Closed { conn, fault: false }, &mut out);
+            out.clear();
+        }
+    });
+    took.as_secs_f64() * 1e6 / DECISIONS as f64
+}
--- /dev/null
+++ b/lab/src/scale/counter.rs
@@ -0,0 +1,61 @@
+//! What the shared counter is asked by all ingresses together.
+
+use super::hollow::{Hollow, Load, Traffic, World};
+use super::measure::{resident_bytes, timed};
+use super::report::{Figure, RoleReport};
+use super::{listing, targets, Run};
+use std::time::Duration;
+
+/// Servers of the one service that the ingresses carry here: the choice among them is another role.
+const SERVERS: usize = 17;
+const WARM_UP: Duration = Duration::from_millis(100);
+const LENGTH: Duration = Duration::from_millis(250);
+/// Processor time after which no further sample is begun at a size.
+const ENOUGH: Duration = Duration::from_secs(30);
+
+/// Plays all of so many ingresses under the load of the peak.
+pub fn run(run: &Run) -> RoleReport {
+    let mut calls = Figure::measured("calls at the counter", "calls/s");
+    let mut bytes_in = Figure::measured("bytes to the counter", "bytes/s");
+    let mut bytes_out = Figure::measured("bytes from the counter", "bytes/s");
+    let mut each = Figure::measured("bytes of an ingress, to and from", "bytes/s");
+    let mut cost = Figure::measured("processor time of all ingresses", "cores");
+    let mut memory = Figure::measured("memory of an ingress", "KiB");
+    let load = Load { rate: targets::REQUESTS_PER_INGRESS, tenants: targets::TENANTS };
+    let line = listing::whole(SERVERS);
+    for &size in &run.sizes {
+        run.progress(&format!("counter: {size} ingresses"));
+        let mut world = World::new(run.seed);
+        let before = resident_bytes();
+        let mut fleet: Vec<Hollow> = (0..size).map(|n| Hollow::new(size, n, run.seed)).collect();
+        fleet.iter_mut().for_each(|hollow| hollow.take_line(&line, &mut world));
+        let mut now = WARM_UP;
+        let go_on = |fleet: &mut Vec<Hollow>, until, world: &mut World| {
+            fleet.iter_mut().for_each(|hollow| hollow.run(until, Some(load), world));
+        };
+        go_on(&mut fleet, now, &mut world);
+        memory.push(size, &[resident_bytes().saturating_sub(before) as f64 / 1024.0 / size as f64]);
+        let (mut samples, mut cores, mut spent) = (Vec::new(), Vec::new(), Duration::ZERO);
+        while samples.is_empty() || samples.len() < run.repeats && spent < ENOUGH {
+            fleet.iter_mut().for_each(|hollow| hollow.traffic = Traffic::default());
+            now += LENGTH;
+            let (_, took) = timed(|| go_on(&mut fleet, now, &mut world));
+            let mut traffic = Traffic::default();
+            fleet.iter().for_each(|hollow| traffic += hollow.traffic);
+            samples.push(traffic);
+            cores.push(took.as_secs_f64() / LENGTH.as_secs_f64());
+            spent += took;
+        }
+        let push = |figure: &mut Figure, of: &dyn Fn(&Traffic) -> u64, per: f64| {
+            let second = |t: &Traffic| of(t) as f64 / LENGTH.as_secs_f64() / per;
+            figure.push(size, &samples.iter().map(second).collect::<Vec<_>>());
+        };
+        push(&mut calls, &|t| t.counter_calls, 1.0);
+        push(&mut bytes_in, &|t| t.counter_bytes_out, 1.0);
+        push(&mut bytes_out, &|t| t.counter_bytes_in, 1.0);
+        push(&mut each, &|t| t.counter_bytes_out + t.counter_bytes_in, size as f64);
+        cost.push(size, &cores);
+    }
+    let figures = vec![calls, bytes_in, bytes_out, each, cost, memory];
+    run.report("counter", "ingresses", figures, vec!["each ingress at 256 requests a second".into()])
+}
--- /dev/null
+++ b/lab/src/scale/events.rs
@@ -0,0 +1,224 @@
+//! Failures and restarts at size, played on hollow ingresses.
+
+use super::hollow::{Hollow, Load, Split, Traffic, World, UNIX_MS};
+use super::listing::{self, Entry, State};
+use super::measure::timed;
+use super::report::{Figure, RoleReport};
+use super::{membership, targets, Run};
+use std::time::Duration;
+
+/// Servers and ingresses that a zone holds.
+const ZONE_SERVERS: usize = 4_150;
+/// Servers of a rack.
+const RACK_SERVERS: usize = 40;
+/// A service of the mean size, which has a server in the rack.
+const SERVICE: usize = 17;
+/// A service of two regions, half of its servers in each.
+const SPLIT_SERVICE: usize = 16;
+/// Members of the fleet whose halves lose each other.
+const SPLIT_MEMBERS: usize = 100;
+const SPLIT_LASTS: Duration = Duration::from_secs(300);
+const STEP: Duration = Duration::from_millis(100);
+/// The span over which a cold server must not get too much.
+const TIP_AFTER: Duration = Duration::from_secs(3);
+
+/// Plays each event with so many ingresses.
+pub fn run(run: &Run) -> RoleReport {
+    let mut figures = Vec::new();
+    run.progress("events: one ingress restarts");
+    restart(run, &mut figures);
+    for &size in &run.sizes {
+        run.progress("events: a rack goes");
+        rack(run, size, &mut figures);
+        run.progress("events: two regions lose each other");
+        regions(run, size, &mut figures);
+        run.progress("events: a zone goes and returns cold");
+        zone(run, size, &mut figures);
+    }
+    run.progress("events: a zone's servers in the whole list");
+    zone_in_whole_list(run, &mut figures);
+    run.progress("events: membership over a split");
+    split(run, &mut figures);
+    let notes = vec![
+        format!("a restart and a zone's changes: one ingress that holds all {} servers", targets::SERVERS),
+        format!("a rack: services of {SERVICE}, one server of which is in it; nobody is told for 10 s"),
+        format!("regions: a service of {SPLIT_SERVICE}, half of its servers out of reach, for 30 s"),
+        "a zone: as many servers an ingress as in the plan, one service; 7.7% of both go and return cold"
+            .into(),
+        format!("membership: {SPLIT_MEMBERS} members, two halves apart for {SPLIT_LASTS:?}"),
+    ];
+    run.report("events", "ingresses", figures, notes)
+}
+
+fn one(figures: &mut Vec<Figure>, quantity: &str, unit: &str, size: usize, value: f64) {
+    match figures.iter_mut().find(|figure| figure.quantity == quantity) {
+        Some(figure) => figure.push(size, &[value]),
+        None => {
+            let mut figure = Figure::measured(quantity, unit);
+            figure.push(size, &[value]);
+            figures.push(figure);
+        }
+    }
+}
+
+/// One ingress starts with nothing, and is told the whole list.
+fn restart(run: &Run, figures: &mut Vec<Figure>) {
+    let line = listing::whole(targets::SERVERS);
+    let mut world = World::new(run.seed);
+    let (mut hollow, took) = timed(|| {
+        let mut hollow = Hollow::new(targets::INGRESSES, 0, run.seed);
+        hollow.take_line(&line, &mut world);
+        hollow
+    });
+    let load = Load { rate: targets::REQUESTS_PER_INGRESS, tenants: targets::TENANTS };
+    hollow.run(Duration::from_secs(1), Some(load), &mut world);
+    let first = hollow.traffic;
+    one(figures, "restart: bytes of the list", "bytes", 1, line.len() as f64 + 1.0);
+    one(figures, "restart: processor time until the list is in", "ms", 1, took.as_secs_f64() * 1e3);
+    one(figures, "restart: requests refused in the first second", "%", 1, refused(&first));
+}
+
+fn refused(traffic: &Traffic) -> f64 {
+    let ended = traffic.served + traffic.refused + traffic.failed;
+    100.0 * (traffic.refused + traffic.failed) as f64 / ended.max(1) as f64
+}
+
+fn fleet(ingresses: usize, run: &Run, line: &[u8], world: &mut World) -> Vec<Hollow> {
+    let one = |number| {
+        let mut hollow = Hollow::new(ingresses, number, run.seed);
+        hollow.take_line(line, world);
+        hollow
+    };
+    (0..ingresses).map(one).collect()
+}
+
+/// Goes on to a time with all ingresses in step; what has gone in and out meanwhile.
+fn go_on(fleet: &mut [Hollow], until: Duration, load: Load, world: &mut World) -> Traffic {
+    fleet.iter_mut().for_each(|hollow| hollow.traffic = Traffic::default());
+    let mut now = fleet.first().map_or(until, Hollow::now);
+    while now < until {
+        now += STEP;
+        fleet.iter_mut().for_each(|hollow| hollow.run(now, Some(load), world));
+    }
+    let mut total = Traffic::default();
+    fleet.iter().for_each(|hollow| total += hollow.traffic);
+    total
+}
+
+/// One server in each of many services dies without a word.
+fn rack(run: &Run, ingresses: usize, figures: &mut Vec<Figure>) {
+    let mut world = World::new(run.seed);
+    let mut fleet = fleet(ingresses, run, &listing::whole(SERVICE), &mut world);
+    let load = service_load();
+    go_on(&mut fleet, Duration::from_secs(60), load, &mut world);
+    world.down.insert(0);
+    let blind = go_on(&mut fleet, Duration::from_secs(70), load, &mut world);
+    let share = 100.0 * blind.failed_attempts as f64 / blind.attempts.max(1) as f64;
+    one(figures, "rack: attempts at dead servers until it is told", "% of attempts", ingresses, share);
+    one(figures, "rack: requests of its services refused until it is told", "%", ingresses, refused(&blind));
+    let deleted = |server| Entry { state: State::Deleted, ..Entry::serving(server) };
+    let told = listing::encode(2, false, &(0..RACK_SERVERS).map(deleted).collect::<Vec<_>>());
+    one(figures, "rack: bytes of the change at each ingress", "bytes", ingresses, told.len() as f64 + 1.0);
+}
+
+/// An even share of an ingress's requests, for one service.
+fn service_load() -> Load {
+    let rate = targets::REQUESTS_PER_INGRESS / targets::SERVICES as f64;
+    Load { rate, tenants: targets::TENANTS }
+}
+
+/// Half of a service's servers cannot be reached from half of the ingresses, nor the others from the others.
+fn regions(run: &Run, ingresses: usize, figures: &mut Vec<Figure>) {
+    let mut world = World::new(run.seed);
+    let mut fleet = fleet(ingresses, run, &listing::whole(SPLIT_SERVICE), &mut world);
+    // A service that is asked often enough that each ingress learns.
+    let load = Load { rate: 4.0, tenants: targets::TENANTS };
+    go_on(&mut fleet, Duration::from_secs(20), load, &mut world);
+    world.split = Some(Split { ingresses: ingresses / 2, servers: SPLIT_SERVICE / 2 });
+    let first = go_on(&mut fleet, Duration::from_secs(25), load, &mut world);
+    let later = go_on(&mut fleet, Duration::from_secs(50), load, &mut world);
+    world.split = None;
+    let met = go_on(&mut fleet, Duration::from_secs(55), load, &mut world);
+    let failed = |t: &Traffic| 100.0 * t.failed_attempts as f64 / t.attempts.max(1) as f64;
+    one(figures, "regions: attempts out of reach, first 5 s", "% of attempts", ingresses, failed(&first));
+    one(figures, "regions: attempts out of reach, after that", "% of attempts", ingresses, failed(&later));
+    one(figures, "regions: requests refused, first 5 s", "%", ingresses, refused(&first));
+    one(figures, "regions: requests refused, after that", "%", ingresses, refused(&later));
+    one(figures, "regions: requests refused, 5 s after they met", "%", ingresses, refused(&met));
+}
+
+/// A zone's ingresses and servers go and return cold.
+fn zone(run: &Run, ingresses: usize, figures: &mut Vec<Figure>) {
+    let servers = ingresses * targets::SERVERS / targets::INGRESSES;
+    let zone = (servers * ZONE_SERVERS / targets::SERVERS).max(1);
+    let mut world = World::new(run.seed);
+    let mut fleet = fleet(ingresses, run, &listing::whole(servers), &mut world);
+    let load = Load { rate: targets::REQUESTS_PER_INGRESS, tenants: targets::TENANTS };
+    go_on(&mut fleet, Duration::from_secs(4), load, &mut world);
+    let deleted = |server| Entry { state: State::Deleted, ..Entry::serving(server) };
+    let gone = listing::encode(2, false, &(0..zone).map(deleted).collect::<Vec<_>>());
+    fleet.iter_mut().for_each(|hollow| hollow.take_line(&gone, &mut world));
+    let without = go_on(&mut fleet, Duration::from_secs(8), load, &mut world);
+    let back = Duration::from_secs(8);
+    let started_ms = UNIX_MS + back.as_millis() as u64;
+    let cold = |server| Entry { generation: 1, started_ms, ..Entry::serving(server) };
+    let told = listing::encode(3, false, &(0..zone).map(cold).collect::<Vec<_>>());
+    fleet.iter_mut().for_each(|hollow| hollow.take_line(&told, &mut world));
+    world.arrivals = Some(Vec::new());
+    let with = go_on(&mut fleet, back + TIP_AFTER, load, &mut world);
+    let mut sends = vec![0usize; servers];
+    world.arrivals.take().unwrap_or_default().iter().for_each(|arrival| sends[arrival.server] += 1);
+    let warm = sends[zone..].iter().sum::<usize>() as f64 / (servers - zone).max(1) as f64;
+    let mean = sends[..zone].iter().sum::<usize>() as f64 / zone as f64;
+    let most = sends[..zone].iter().max().copied().unwrap_or(0) as f64;
+    one(figures, "zone: requests refused while it is gone", "%", ingresses, refused(&without));
+    one(figures, "zone: requests refused in the 3 s after its return", "%", ingresses, refused(&with));
+    one(
+        figures,
+        "zone: sends at a cold server in its first 3 s, mean",
+        "of a warm one",
+        ingresses,
+        mean / warm,
+    );
+    one(
+        figures,
+        "zone: sends at a cold server in its first 3 s, most",
+        "of a warm one",
+        ingresses,
+        most / warm,
+    );
+}
+
+/// The changes that tell of a zone, at an ingress that holds all servers.
+fn zone_in_whole_list(run: &Run, figures: &mut Vec<Figure>) {
+    let mut world = World::new(run.seed);
+    let mut hollow = Hollow::new(targets::INGRESSES, 0, run.seed);
+    hollow.take_line(&listing::whole(targets::SERVERS), &mut world);
+    for (revision, state, what) in [(2, State::Deleted, "goes"), (3, State::Serving, "returns")] {
+        let generation = u32::from(state == State::Serving);
+        let entry = |server| Entry { generation, state, ..Entry::serving(server) };
+        let line = listing::encode(revision, false, &(0..ZONE_SERVERS).map(entry).collect::<Vec<_>>());
+        let (_, took) = timed(|| hollow.take_line(&line, &mut world));
+        one(
+            figures,
+            &format!("zone: bytes at an ingress when it {what}"),
+            "bytes",
+            1,
+            line.len() as f64 + 1.0,
+        );
+        let name = format!("zone: processor time at an ingress when it {what}");
+        one(figures, &name, "ms", 1, took.as_secs_f64() * 1e3);
+    }
+}
+
+/// Membership while two halves do not hear each other, and after.
+fn split(run: &Run, figures: &mut Vec<Figure>) {
+    let cost = membership::split(SPLIT_MEMBERS, SPLIT_LASTS, run.seed);
+    let mut put = |what: &str, unit: &str, value: f64| {
+        one(figures, &format!("regions: membership: {what}"), unit, SPLIT_MEMBERS, value);
+    };
+    put("fullest second of a member while apart", "bytes/s", cost.peak_split);
+    put("fullest second of a member after they met", "bytes/s", cost.peak_healing);
+    put("all agree after", "s", cost.agreed_after.unwrap_or(f64::NAN));
+    put("processor time of a member over all of it", "ms", cost.processor_time * 1e3);
+}
--- /dev/null
+++ b/lab/src/scale/hollow.rs
@@ -0,0 +1,334 @@
+//! A hollow ingress: the real engine with its decision module and its list, and the real codecs, without sockets and
+//! in virtual time. What would go over a socket is encoded and counted.
+
+use super::listing;
+use crate::site;
+use roseyard::{CountName, CountResult, CustomerId, Outcome, ServerId, Settings};
+use roseyard_engine::{Answer, Ask, Bounds, End, Engine, Key, Output};
+use roseyard_ingress::protocol::{http, list};
+use roseyard_settings::Options;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
+
+const COUNTER: &str = "127.0.0.1:6400";
+const COUNTER_TAKES: Duration = Duration::from_millis(1);
+const REFUSED_AFTER: Duration = Duration::from_micros(200);
+const CONNECT_GIVEN_UP: Duration = Duration::from_millis(250);
+const MEAN_SERVICE_TIME: f64 = 0.020;
+const TIME_LEFT: Duration = Duration::from_millis(2000);
+const REQUEST_BYTES: usize = 200;
+
+/// The platform's settings for one of so many ingresses.
+pub fn options(ingresses: usize, number: usize) -> Options {
+    let mut settings = site::settings();
+    settings["Balancers"] = ingresses.into();
+    settings["Me"] = number.into();
+    Options::parse(settings.to_string().as_bytes()).expect("the lab's settings are whole")
+}
+
+/// What has gone in and out of an ingress, and what became of its requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Calls to the counter.
+    pub counter_calls: u64,
+    /// Their bytes.
+    pub counter_bytes_out: u64,
+    /// Bytes of the answers.
+    pub counter_bytes_in: u64,
+    /// Bytes of lists.
+    pub list_bytes_in: u64,
+    /// Attempts begun at servers.
+    pub attempts: u64,
+    /// Of these, such that found nobody listening.
+    pub failed_attempts: u64,
+    /// Probes begun at servers.
+    pub probes: u64,
+    /// Requests served.
+    pub served: u64,
+    /// Requests refused.
+    pub refused: u64,
+    /// Requests failed.
+    pub failed: u64,
+}
+
+impl std::ops::AddAssign for Traffic {
+    fn add_assign(&mut self, other: Traffic) {
+        self.counter_calls += other.counter_calls;
+        self.counter_bytes_out += other.counter_bytes_out;
+        self.counter_bytes_in += other.counter_bytes_in;
+        self.list_bytes_in += other.list_bytes_in;
+        self.attempts += other.attempts;
+        self.failed_attempts += other.failed_attempts;
+        self.probes += other.probes;
+        self.served += other.served;
+        self.refused += other.refused;
+        self.failed += other.failed;
+    }
+}
+
+/// An attempt as its server has seen it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Arrival {
+    /// When.
+    pub at: Duration,
+    /// From which ingress.
+    pub ingress: usize,
+    /// At which server.
+    pub server: usize,
+}
+
+/// Two regions that cannot reach each other: the first has the ingresses and servers of lower numbers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Split {
+    /// Ingresses of the first region.
+    pub ingresses: usize,
+    /// Servers of the first region.
+    pub servers: usize,
+}
+
+impl Split {
+    fn parts(self, arrival: Arrival) -> bool {
+        (arrival.ingress < self.ingresses) != (arrival.server < self.servers)
+    }
+}
+
+/// What is around the ingresses: the counter's totals, the servers, and what the servers have seen.
+pub struct World {
+    rng: fastrand::Rng,
+    totals: HashMap<CountName, f64>,
+    /// Servers that listen no more.
+    pub down: HashSet<usize>,
+    /// Regions that cannot reach each other, if any.
+    pub split: Option<Split>,
+    /// What came to the servers, if it is to be kept.
+    pub arrivals: Option<Vec<Arrival>>,
+}
+
+impl World {
+    /// One in which everything runs.
+    pub fn new(seed: u64) -> World {
+        let rng = fastrand::Rng::with_seed(seed);
+        World { rng, totals: HashMap::new(), down: HashSet::new(), split: None, arrivals: None }
+    }
+
+    /// Takes an attempt in: how long it will take, and how it will end.
+    fn attempt(&mut self, arrival: Arrival) -> (Duration, Outcome) {
+        if let Some(arrivals) = &mut self.arrivals {
+            arrivals.push(arrival);
+        }
+        if self.down.contains(&arrival.server) {
+            return (REFUSED_AFTER, Outcome::ConnectFailed);
+        }
+        if self.split.is_some_and(|split| split.parts(arrival)) {
+            return (CONNECT_GIVEN_UP, Outcome::ConnectFailed);
+        }
+        (exponential(&mut self.rng, MEAN_SERVICE_TIME), Outcome::Ok)
+    }
+
+    fn add(&mut self, name: CountName, amount: f64) -> f64 {
+        let total = self.totals.entry(name).or_default();
+        *total += amount;
+        *total
+    }
+}
+
+fn exponential(rng: &mut fastrand::Rng, mean: f64) -> Duration {
+    Duration::from_secs_f64(-mean * (1.0 - rng.f64()).ln())
+}
+
+/// What clients ask of one ingress.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    /// Requests a second.
+    pub rate: f64,
+    /// Tenants that they come from, evenly.
+    pub tenants: usize,
+}
+
+enum Pending {
+    Counted { name: CountName, total: f64, made: Duration },
+    Ended { request: Key, attempt: u16, outcome: Outcome },
+    Probed { server: ServerId, outcome: Outcome },
+}
+
+/// One ingress without sockets.
+pub struct Hollow {
+    /// The engine.
+    pub engine: Engine<(), (), ()>,
+    /// What has gone in and out.
+    pub traffic: Traffic,
+    number: usize,
+    spread: u32,
+    now: Duration,
+    pending: BTreeMap<(Duration, u64), Pending>,
+    serial: u64,
+    rng: fastrand::Rng,
+    next_request: Option<Duration>,
+    scratch: Vec<u8>,
+}
+
+impl Hollow {
+    /// Number `number` of so many ingresses.
+    pub fn new(ingresses: usize, number: usize, seed: u64) -> Hollow {
+        let settings = options(ingresses, number).settings().expect("the lab's settings are whole");
+        Hollow::with(settings, number, seed)
+    }
+
+    /// One under these settings.
+    pub fn with(settings: Settings, number: usize, seed: u64) -> Hollow {
+        let bounds = Bounds { requests: 200_000, bytes: 64 << 20 };
+        let seed = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(number as u64);
+        Hollow {
+            spread: settings.gateways,
+            engine: Engine::new(settings, seed, bounds).expect("the lab's settings can be served"),
+            traffic: Traffic::default(),
+            number,
+            now: Duration::ZERO,
+            pending: BTreeMap::new(),
+            serial: 0,
+            rng: fastrand::Rng::with_seed(seed ^ 0x5eed),
+            next_request: None,
+            scratch: Vec::new(),
+        }
+    }
+
+    /// The virtual time that this ingress has reached.
+    pub fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// Takes in a line of the watch, as its bytes come.
+    pub fn take_line(&mut self, line: &[u8], world: &mut World) {
+        self.traffic.list_bytes_in += line.len() as u64 + 1;
+        let (mut lists, mut found) = (list::Lists::default(), Vec::new());
+        lists.take(line, &mut found);
+        lists.take(b"\n", &mut found);
+        for mut text in found {
+            let decoded = list::decode(&mut text).expect("a line of the lab's own");
+            self.take_list(&decoded, world);
+        }
+    }
+
+    /// Takes in a list that is decoded already.
+    pub fn take_list(&mut self, decoded: &roseyard_engine::List, world: &mut World) {
+        // Unix times of the lab begin with its virtual time, one hour in.
+        let started =
+            |ms: f64| (ms > 0.0).then(|| Duration::from_millis((ms as u64).saturating_sub(UNIX_MS)));
+        self.engine.take_list(decoded, &[], started);
+        self.carry_out(world);
+    }
+
+    /// One request of a tenant comes.
+    pub fn request(&mut self, tenant: u64, world: &mut World) {
+        let ask = Ask {
+            owner: (),
+            class: 0,
+            plan: 0,
+            customer: CustomerId(tenant),
+            units: 1.0,
+            spread: self.spread,
+            time_left: TIME_LEFT,
+            retry: false,
+            command: (),
+            bytes: REQUEST_BYTES,
+        };
+        if self.engine.submit(ask).is_err() {
+            self.traffic.refused += 1;
+        }
+        self.carry_out(world);
+    }
+
+    /// Goes on to a time, under this load if any.
+    pub fn run(&mut self, until: Duration, load: Option<Load>, world: &mut World) {
+        loop {
+            let request = load.map(|load| {
+                let gap = exponential(&mut self.rng, 1.0 / load.rate);
+                *self.next_request.get_or_insert(self.now + gap)
+            });
+            let pending = self.pending.keys().next().map(|(at, _)| *at);
+            let next = [request, pending, self.engine.due()].into_iter().flatten().min();
+            let Some(next) = next.filter(|next| *next <= until) else { break };
+            self.now = self.now.max(next);
+            if self.engine.due().is_some_and(|due| due <= self.now) {
+                self.engine.on_due();
+                self.carry_out(world);
+            }
+            if let Some(entry) = self.pending.first_entry().filter(|e| e.key().0 <= self.now) {
+                let pending = entry.remove();
+                self.finish(pending, world);
+            }
+            if let Some(load) = load.filter(|_| request.is_some_and(|at| at <= self.now)) {
+                self.next_request = None;
+                let tenant = self.rng.usize(0..load.tenants) as u64;
+                self.request(tenant, world);
+            }
+        }
+        self.now = until;
+    }
+
+    fn finish(&mut self, pending: Pending, world: &mut World) {
+        match pending {
+            Pending::Counted { name, total, made } => {
+                self.engine.counted(name, CountResult::Total(total), self.now.saturating_sub(made));
+            }
+            Pending::Ended { request, attempt, outcome } => {
+                let value = (outcome == Outcome::Ok).then_some(());
+                self.engine.ended(request, attempt, End { value, ..End::of(outcome) }, self.now);
+            }
+            Pending::Probed { server, outcome } => self.engine.probed(server, outcome, None),
+        }
+        self.carry_out(world);
+    }
+
+    fn carry_out(&mut self, world: &mut World) {
+        while let Some(output) = self.engine.poll(self.now) {
+            match output {
+                Output::Send { request, attempt, server, .. } => {
+                    let (takes, outcome) = self.arrive(server, world);
+                    self.traffic.attempts += 1;
+                    self.traffic.failed_attempts += u64::from(outcome == Outcome::ConnectFailed);
+                    self.later(takes, Pending::Ended { request, attempt, outcome });
+                }
+                Output::Count { name, add, lifetime } => self.call_counter(name, add, lifetime, world),
+                Output::Probe { server } => {
+                    let (takes, outcome) = self.arrive(server, world);
+                    self.traffic.probes += 1;
+                    self.later(takes, Pending::Probed { server, outcome });
+                }
+                Output::Cancel { request, attempt } => {
+                    self.engine.ended(request, attempt, End::of(Outcome::Cancelled), self.now);
+                }
+                Output::Answer { answer: Answer::Served(()), .. } => self.traffic.served += 1,
+                Output::Answer { answer: Answer::Refused(_), .. } => self.traffic.refused += 1,
+                Output::Answer { answer: Answer::Failed, .. } => self.traffic.failed += 1,
+                Output::FetchList | Output::Log(_) => {}
+            }
+        }
+    }
+
+    fn arrive(&mut self, server: ServerId, world: &mut World) -> (Duration, Outcome) {
+        let Some(address) = self.engine.address(server) else { return (REFUSED_AFTER, Outcome::Moot) };
+        let server = listing::server_at(address);
+        world.attempt(Arrival { at: self.now, ingress: self.number, server })
+    }
+
+    fn call_counter(&mut self, name: CountName, add: f64, lifetime: Duration, world: &mut World) {
+        self.scratch.clear();
+        http::put_tally(&mut self.scratch, COUNTER, name.0, add, lifetime.as_millis().max(1) as u64);
+        let total = world.add(name, add);
+        let answer =
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {0}\r\n\r\n{total}", total.to_string().len());
+        self.traffic.counter_calls += 1;
+        self.traffic.counter_bytes_out += self.scratch.len() as u64;
+        self.traffic.counter_bytes_in += answer.len() as u64;
+        self.later(COUNTER_TAKES, Pending::Counted { name, total, made: self.now });
+    }
+
+    fn later(&mut self, after: Duration, what: Pending) {
+        self.serial += 1;
+        self.pending.insert((self.now + after, self.serial), what);
+    }
+}
+
+/// Unix time in milliseconds at which virtual time begins.
+pub const UNIX_MS: u64 = 3_600_000;
--- /dev/null
+++ b/lab/src/scale/quotas.rs
@@ -0,0 +1,64 @@
+//! What tenants' quotas cost an ingress: memory, processor time and calls to the counter.
+
+use super::hollow::{Hollow, Load, Traffic, World};
+use super::measure::{resident_bytes, timed};
+use super::report::{Figure, RoleReport};
+use super::{listing, targets, Run};
+use std::time::Duration;
+
+/// Few servers, so that the choice among them weighs little.
+const SERVERS: usize = 17;
+/// An ingress forgets a tenant that has not come for 30 s: all of them come within this.
+const FILL: Duration = Duration::from_secs(20);
+
+/// Plays one ingress at each number of tenants, all of whom it has just heard of.
+pub fn run(run: &Run) -> RoleReport {
+    let mut request = Figure::measured("processor time a request", "us");
+    let mut rest = Figure::measured("processor time at rest", "% of a core");
+    let mut memory = Figure::measured("memory of all ledgers", "MiB");
+    let mut calls = Figure::measured("calls to the counter a request", "calls");
+    let mut out = Figure::measured("bytes of a call", "bytes");
+    let mut back = Figure::measured("bytes of its answer", "bytes");
+    let mut rate = Figure::reckoned("to and from the counter at 256 requests a second", "bytes/s");
+    let mut held = Vec::new();
+    for &size in &run.sizes {
+        run.progress(&format!("quotas: {size} tenants"));
+        let mut world = World::new(run.seed);
+        let mut hollow = Hollow::new(targets::INGRESSES, 0, run.seed);
+        hollow.take_line(&listing::whole(SERVERS), &mut world);
+        let before = resident_bytes();
+        for tenant in 0..size {
+            let at = FILL.mul_f64((tenant + 1) as f64 / size as f64);
+            hollow.run(at, None, &mut world);
+            hollow.request(tenant as u64, &mut world);
+        }
+        memory.push(size, &[resident_bytes().saturating_sub(before) as f64 / f64::from(1 << 20)]);
+        let load = Load { rate: targets::REQUESTS_PER_INGRESS, tenants: size };
+        let (mut resting, mut requests, mut traffic) = (Vec::new(), Vec::new(), Traffic::default());
+        let length = Duration::from_millis(1000 * run.seconds / run.repeats as u64);
+        for _ in 0..run.repeats {
+            let (_, took) = timed(|| hollow.run(hollow.now() + length, None, &mut world));
+            let idle = took.as_secs_f64() / length.as_secs_f64();
+            hollow.traffic = Traffic::default();
+            let (_, took) = timed(|| hollow.run(hollow.now() + length, Some(load), &mut world));
+            let ended = hollow.traffic.attempts + hollow.traffic.refused;
+            let each = (took.as_secs_f64() - idle * length.as_secs_f64()).max(0.0) / ended.max(1) as f64;
+            resting.push(idle * 100.0);
+            requests.push(each * 1e6);
+            traffic += hollow.traffic;
+        }
+        rest.push(size, &resting);
+        request.push(size, &requests);
+        let (asked, ended) = (traffic.counter_calls as f64, (traffic.attempts + traffic.refused) as f64);
+        let (bytes_out, bytes_in) =
+            (traffic.counter_bytes_out as f64 / asked, traffic.counter_bytes_in as f64 / asked);
+        calls.push(size, &[asked / ended]);
+        out.push(size, &[bytes_out]);
+        back.push(size, &[bytes_in]);
+        rate.push(size, &[asked / ended * (bytes_out + bytes_in) * targets::REQUESTS_PER_INGRESS]);
+        held.push(hollow);
+    }
+    let figures = vec![request, rest, memory, calls, out, back, rate];
+    let note = "bytes are those of the calls and answers alone, without TCP's and IP's".to_owned();
+    run.report("quotas", "tenants", figures, vec![note])
+}
--- /dev/null
+++ b/lab/src/scale/targets.rs
@@ -0,0 +1,36 @@
+//! The size that the platform is to reach, and what control may cost each ingress there.
+
+use std::time::Duration;
+
+/// Ingresses.
+pub const INGRESSES: usize = 4_300;
+/// Form servers.
+pub const SERVERS: usize = 54_000;
+/// Services.
+pub const SERVICES: usize = 3_200;
+/// Servers of the largest service.
+pub const LARGEST_SERVICE: usize = 2_000;
+/// Routes.
+pub const ROUTES: usize = 11_000;
+/// Tenants, each with its own quota.
+pub const TENANTS: usize = 95_000;
+/// Requests a second at one ingress in the mean of the peak.
+pub const REQUESTS_PER_INGRESS: f64 = 256.0;
+/// Servers and ingresses that are restarted or replaced on an ordinary day.
+pub const RESTARTS_A_DAY: f64 = 6_000.0;
+/// Changes of configuration a day.
+pub const CHANGES_A_DAY: f64 = 21_000.0;
+/// Machines set aside for control.
+pub const CONTROL_MACHINES: usize = 9;
+/// Share of a core that control may take at each ingress.
+pub const CORE_SHARE: f64 = 0.031;
+/// Bytes that control may hold at each ingress.
+pub const MEMORY_BYTES: u64 = 128 << 20;
+/// Bytes a second that control may move at each ingress.
+pub const BYTES_PER_SECOND: f64 = 12_000.0;
+/// A started ingress is ready by then.
+pub const READY_WITHIN: Duration = Duration::from_secs(10);
+/// A change of configuration is in force everywhere by then.
+pub const CHANGE_WITHIN: Duration = Duration::from_secs(15);
+/// Seconds of a day.
+pub const DAY: f64 = 86_400.0;
--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -7,8 +7,8 @@
 /// Allowance of every customer: units a second, and at once.
 const RATE: f64 = 100.0;
 
-/// The platform's settings for one ingress, with one plan and the two classes.
-fn settings() -> Value {
+/// The platform's settings for one ingress, with one plan and the classes.
+pub fn settings() -> Value {
     let class = |name: &str, effect: &str, group: &str| {
         json!({"Name": name, "Effect": effect, "Group": group, "Stream": false, "DeadlineMs": 4000.0,
             "TargetMs": 1000.0, "WindowMs": 8000.0, "LateWorth": 0.2, "Worth": 1.0})
