--- a/lab/src/scale/daemon.rs
+++ b/lab/src/scale/daemon.rs
@@ -9,12 +9,15 @@
 
 use super::measure;
 use super::report::{Figure, RoleReport};
+use super::Run;
+use crate::site;
 use crate::usual::Outcome;
 use layout::{target, Layout};
 use load::Load;
 use meter::Totals;
 use platform::Platform;
 use process::Process;
+use serde_json::Value;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -29,8 +32,8 @@
 const SOME_TENANTS: u64 = 1_000;
 /// Ingresses that the settings name.
 const INGRESSES: u32 = 4_300;
-/// Requests a second at one ingress.
-const RATE: f64 = 256.0;
+/// Allowance of each tenant, units a second: no request of a measurement is to be refused for it.
+const TENANT_RATE: f64 = 1000.0;
 /// Requests a second while each tenant asks once: all are held at once, as idle ones are dropped after 30 s.
 const TENANTS_RATE: f64 = 4_000.0;
 /// Load before what is measured.
@@ -60,31 +63,28 @@
     pub daemon: PathBuf,
     /// An earlier version of it, measured in turn with the other.
     pub before: Option<PathBuf>,
-    /// Numbers of servers.
-    pub sizes: Vec<u32>,
     /// Does the program know services, and are servers divided into them too?
     pub services: bool,
     /// Are all tenants played at the greatest size too?
     pub all_tenants: bool,
-    /// Seconds of load that are measured.
-    pub seconds: u64,
-    /// Runs of each, each with a daemon of its own.
-    pub runs: usize,
     /// Does the daemon have a shared counter?
     pub counter: bool,
+    /// May the daemon probe servers?
+    pub probes: bool,
+    /// Requests a second.
+    pub rate: f64,
     /// Ingresses through which each tenant's requests come: 1 needs no shared counter.
     pub spread: u32,
-    /// For times, tenants and services.
-    pub seed: u64,
-    /// Is progress told on standard error?
-    pub progress: bool,
+    /// Sizes in servers, seconds of load, repeats, and the seed for times, tenants and services.
+    pub run: Run,
 }
 
 impl Options {
-    fn progress(&self, what: &str) {
-        if self.progress {
-            eprintln!("{what}");
-        }
+    /// The platform's settings.
+    fn settings(&self) -> Value {
+        let mut settings = site::settings_for(INGRESSES, TENANT_RATE);
+        settings["Ceilings"]["Probes"] = self.probes.into();
+        settings
     }
 }
 
@@ -202,9 +202,9 @@
 pub fn run(options: &Options) -> io::Result<Vec<RoleReport>> {
     let mut reports: Vec<(Series, RoleReport)> = Vec::new();
     for case in cases(options) {
-        options.progress(&format!("{case:?}"));
-        let samples: Vec<Sample> = (0..options.runs)
-            .map(|run| sample(options, &case, options.seed + run as u64))
+        options.run.progress(&format!("{case:?}"));
+        let samples: Vec<Sample> = (0..options.run.repeats)
+            .map(|run| sample(options, &case, options.run.seed + run as u64))
             .collect::<io::Result<_>>()?;
         let series = case.series();
         let held = reports.iter().position(|(s, _)| *s == series);
@@ -257,10 +257,10 @@
             cases.push(Case { before: false, division: Division::LongTail, servers, tenants });
         }
     };
-    options.sizes.iter().for_each(|servers| add(*servers, SOME_TENANTS));
-    if let Some(greatest) = options.sizes.iter().max().filter(|_| options.all_tenants) {
-        add(*greatest, 1);
-        add(*greatest, ALL_TENANTS);
+    options.run.sizes.iter().for_each(|servers| add(*servers as u32, SOME_TENANTS));
+    if let Some(greatest) = options.run.sizes.iter().max().filter(|_| options.all_tenants) {
+        add(*greatest as u32, 1);
+        add(*greatest as u32, ALL_TENANTS);
     }
     cases
 }
@@ -272,13 +272,13 @@
     let platform = runtimes.platform.block_on(Platform::start(&layout, Duration::ZERO, options.counter))?;
     let program =
         if case.before { options.before.as_ref().unwrap_or(&options.daemon) } else { &options.daemon };
-    let process = Process::start(program, &layout, INGRESSES, &platform)?;
+    let process = Process::start(program, &layout, &platform, &options.settings())?;
     let mut sample = Sample { ready_s: process.ready_after.as_secs_f64(), ..Sample::default() };
     std::thread::sleep(SETTLE);
     let told = platform.discovery_totals().sent;
     sample.rest_percent = 100.0 * process.busy(REST)?;
     sample.discovery_in = (platform.discovery_totals().sent - told) as f64 / REST.as_secs_f64();
-    let load = Load::of(&layout, RATE, case.tenants, options.spread, seed);
+    let load = Load::of(&layout, options.rate, case.tenants, options.spread, seed);
     let address = process.daemon.address;
     runtimes.clients.block_on(load.play(address, WARM_UP));
     let loaded = under_load(options, &runtimes, &platform, &process, &load)?;
@@ -320,7 +320,7 @@
     let load = load.with_seed(load.seed + LATER_SEED);
     let (began, used) = (Instant::now(), process.daemon.scheduled()?);
     let (counter, connections) = (platform.counter_totals(), platform.servers.connections());
-    let length = Duration::from_secs(options.seconds);
+    let length = Duration::from_secs(options.run.seconds);
     let outcome = runtimes.clients.block_on(load.play(process.daemon.address, length));
     let totals = platform.counter_totals();
     let counter = Totals {
@@ -376,8 +376,8 @@
     let platform = runtimes.platform.block_on(Platform::start(&layout, Duration::ZERO, options.counter))?;
     let Some(server) = layout.services[0].addresses().next() else { return Ok(String::new()) };
     let address = SocketAddr::from((server, platform.port));
-    let load = Load::of(&layout, RATE, SOME_TENANTS, 1, options.seed);
-    let outcome = runtimes.clients.block_on(load.play(address, Duration::from_secs(options.seconds)));
+    let load = Load::of(&layout, options.rate, SOME_TENANTS, 1, options.run.seed);
+    let outcome = runtimes.clients.block_on(load.play(address, Duration::from_secs(options.run.seconds)));
     let quantile = |q| outcome.answer_times.value_at_quantile(q) as f64 / 1000.0;
     Ok(format!(
         "straight from the client to a server, without the daemon: p50 {:.2} ms, p99 {:.2} ms",
--- a/lab/src/scale/daemon/layout.rs
+++ b/lab/src/scale/daemon/layout.rs
@@ -1,7 +1,6 @@
 //! Which servers there are: how they are divided into services, where each listens, and the files that tell the
 //! daemon of them.
 
-use crate::site;
 use serde_json::{json, Value};
 use std::fmt::Write;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -12,8 +11,6 @@
 const NETWORK_SERVERS: u32 = 254;
 /// Addresses of a network.
 const NETWORK_SIZE: u32 = 256;
-/// Allowance of each tenant, units a second: no request of a measurement is to be refused for it.
-const TENANT_RATE: f64 = 1000.0;
 /// Descriptors of the daemon.
 const DESCRIPTORS: usize = 4096;
 /// Memory that the daemon is told of, in MB.
@@ -113,16 +110,16 @@
     /// The daemon's configuration; `known` is the list of servers that it holds at its start.
     pub fn configuration(
         &self,
-        ingresses: u32,
         counter: Option<SocketAddr>,
         discovery: SocketAddr,
-        known: Value,
+        known: &Value,
+        settings: &Value,
     ) -> String {
         json!({
             "name": "scale", "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
             "counter": counter.map(|at| at.to_string()), "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS},
-            "known": known, "settings": site::settings(ingresses, TENANT_RATE)
+            "known": known, "settings": settings
         })
         .to_string()
     }
--- a/lab/src/scale/daemon/process.rs
+++ b/lab/src/scale/daemon/process.rs
@@ -4,6 +4,7 @@
 use super::platform::Platform;
 use crate::daemon::Daemon;
 use rustix::process::Signal;
+use serde_json::Value;
 use std::fs;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::TcpStream;
@@ -32,16 +33,16 @@
     pub fn start(
         program: &Path,
         layout: &Layout,
-        ingresses: u32,
         platform: &Platform,
+        settings: &Value,
     ) -> io::Result<Process> {
         let folder = tempfile::tempdir()?;
-        let settings = folder.path().join("roseyard.kdl");
-        fs::write(&settings, layout.operator_file())?;
+        let operator_file = folder.path().join("roseyard.kdl");
+        fs::write(&operator_file, layout.operator_file())?;
         let known = layout.list(platform.port);
         let configuration =
-            layout.configuration(ingresses, platform.counter_address, platform.discovery_address, known);
-        let (daemon, log) = Daemon::launch(program, Some(&settings), &configuration)?;
+            layout.configuration(platform.counter_address, platform.discovery_address, &known, settings);
+        let (daemon, log) = Daemon::launch(program, Some(&operator_file), &configuration)?;
         let log = read_on(log);
         wait_for_pong(&daemon)?;
         let ready_after = daemon.started.elapsed();
--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -7,8 +7,13 @@
 /// Allowance of every customer in a small site: units a second, and at once.
 const RATE: f64 = 100.0;
 
-/// The platform's settings for one of so many ingresses, with one plan of this rate and the two classes.
-pub(crate) fn settings(ingresses: u32, rate: f64) -> Value {
+/// The platform's settings for one ingress, with one plan and the classes.
+pub fn settings() -> Value {
+    settings_for(1, RATE)
+}
+
+/// The same for one of so many ingresses, where every customer's allowance is this.
+pub(crate) fn settings_for(ingresses: u32, rate: f64) -> Value {
     let class = |name: &str, effect: &str, group: &str| {
         json!({"Name": name, "Effect": effect, "Group": group, "Stream": false, "DeadlineMs": 4000.0,
             "TargetMs": 1000.0, "WindowMs": 8000.0, "LateWorth": 0.2, "Worth": 1.0})
@@ -48,7 +53,7 @@
         "name": "lab", "listen": "127.0.0.1:0", "discovery": around.discovery.to_string(),
         "counter": around.counter.to_string(), "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
-        "known": list(&around.servers), "settings": settings(1, RATE)
+        "known": list(&around.servers), "settings": settings()
     })
 }
 
