--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -49,13 +49,13 @@
     /// role has its own if none are given.
     #[arg(long, value_delimiter = ',')]
     sizes: Vec<usize>,
-    /// Virtual seconds of a sample; with '--role daemon' real seconds of load.
+    /// Virtual seconds of a sample; with '--role daemon' or 'faults' real seconds of load.
     #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=600))]
     seconds: u64,
     /// Samples at each size.
     #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u16).range(1..=100))]
     repeats: u16,
-    /// With '--role daemon': the daemon's program; by default the one beside this one.
+    /// With '--role daemon' or 'faults': the daemon's program; by default the one beside this one.
     #[arg(long)]
     daemon: Option<PathBuf>,
     /// With '--role daemon': an earlier version of it, measured in turn with the other.
@@ -170,6 +170,9 @@
         repeats: usize::from(args.repeats),
         progress: scale::on_terminal(),
     };
+    if args.role == Role::Faults {
+        return run_faults(&daemon_options(args, &run)?, args.json.is_some());
+    }
     let reports = match args.role.run(&run) {
         Some(report) => vec![report],
         None if args.role == Role::Daemon => scale::daemon::run(&daemon_options(args, &run)?)?,
@@ -188,6 +191,19 @@
     Ok(())
 }
 
+fn run_faults(options: &scale::daemon::Options, json: bool) -> io::Result<()> {
+    let findings = scale::daemon::faults::run(options)?;
+    if json {
+        println!("{:#}", serde_json::json!({"seed": options.run.seed, "findings": findings}));
+    } else {
+        println!("{}", scale::daemon::faults::table(&findings));
+    }
+    match findings.iter().filter(|finding| !finding.kept).count() {
+        0 => Ok(()),
+        broken => Err(io::Error::other(format!("{broken} rules broken"))),
+    }
+}
+
 fn daemon_options(args: &ScaleArgs, run: &Run) -> io::Result<scale::daemon::Options> {
     Ok(scale::daemon::Options {
         daemon: beside(args.daemon.as_deref())?,
--- a/lab/src/scale/daemon.rs
+++ b/lab/src/scale/daemon.rs
@@ -1,6 +1,7 @@
 //! The real daemon at size: one process on loopback among stand-ins, with up to 54,000 servers at addresses of their
 //! own, one version beside another. Cost is processor time by the scheduler's account.
 
+pub mod faults;
 mod layout;
 mod load;
 mod meter;
@@ -359,7 +360,7 @@
     let rest = process.busy(REST)?;
     let (began, used) = (Instant::now(), process.daemon.scheduled()?);
     for n in 0..CHANGES {
-        let state = if n % 2 == 0 { "SERVING" } else { "DELETED" };
+        let state = if n.is_multiple_of(2) { "SERVING" } else { "DELETED" };
         platform.discovery.change(&[target(layout.spare_address(), platform.port, state, 0.0)]);
         std::thread::sleep(CHANGE_EVERY);
     }
--- /dev/null
+++ b/lab/src/scale/daemon/faults.rs
@@ -0,0 +1,396 @@
+//! Faults of one service on the real daemon, and what the others notice of them.
+
+use super::layout::{target, Layout, Service};
+use super::load::Load;
+use super::platform::{Behaviour, Platform};
+use super::process::Process;
+use super::{Options, Runtimes, SETTLE};
+use crate::judge::{judge, Event, What};
+use crate::usual::Outcome;
+use comfy_table::{presets::ASCII_MARKDOWN, Table};
+use serde::Serialize;
+use serde_json::Value;
+use std::collections::HashMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::task::JoinHandle;
+
+/// The services of a small platform, the one that the fault falls on being the largest.
+const SERVERS: u32 = 340;
+const SERVICES: u32 = 20;
+const LARGEST: u32 = 60;
+const ROUTES: u32 = 60;
+const VICTIM: u32 = 0;
+/// Requests a second for the victim, and for all others together.
+const VICTIM_RATE: f64 = 100.0;
+const OTHERS_RATE: f64 = 256.0;
+/// Requests a second of a flood.
+const FLOOD_RATE: f64 = 2_000.0;
+const TENANTS: u64 = 400;
+/// Time that a server takes for a request.
+const WORK: Duration = Duration::from_millis(2);
+/// The p99 of others may be this multiple of what it is without the fault.
+const P99_MULTIPLE: f64 = 1.2;
+/// A stretch without and with the fault, so many times: the median of the pairs is judged.
+const PAIRS: usize = 5;
+/// A server that drains gets nothing from so long after it was told.
+const DRAIN_GRACE: Duration = Duration::from_millis(2_000);
+/// A cold server is watched for so long, and gets at most this share of what a warm one gets.
+const COLD_SPAN: Duration = Duration::from_secs(3);
+const COLD_SHARE: f64 = 0.5;
+/// Reloads that move routes under load, and between two of them.
+const MOVES: u32 = 8;
+const MOVE_EVERY: Duration = Duration::from_millis(500);
+/// Services that churn: so many in each generation, so many generations, and after how many of them memory is first
+/// read.
+const CHURN_SERVICES: u32 = 1_000;
+const CHURN_GENERATIONS: u32 = 100;
+const CHURN_FIRST: u32 = 10;
+const CHURN_RATE: f64 = 2_000.0;
+/// Memory after the churn may be this multiple of the first reading.
+const CHURN_MULTIPLE: f64 = 1.1;
+
+/// A rule, and what was seen of it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Finding {
+    /// The fault.
+    pub fault: &'static str,
+    /// The rule.
+    pub rule: String,
+    /// What was seen.
+    pub seen: String,
+    /// Was it kept?
+    pub kept: bool,
+}
+
+impl Finding {
+    fn new(fault: &'static str, rule: impl Into<String>, seen: impl Into<String>, kept: bool) -> Finding {
+        Finding { fault, rule: rule.into(), seen: seen.into(), kept }
+    }
+}
+
+/// Findings as a table in Markdown.
+pub fn table(findings: &[Finding]) -> String {
+    let mut table = Table::new();
+    table.load_preset(ASCII_MARKDOWN).set_header(["fault", "rule", "seen", "kept"]);
+    for finding in findings {
+        let kept = if finding.kept { "yes" } else { "NO" };
+        table.add_row([finding.fault, &finding.rule, &finding.seen, kept]);
+    }
+    table.to_string()
+}
+
+/// A daemon among its stand-ins, with a load for the victim and one for all others.
+struct Stage {
+    layout: Layout,
+    runtimes: Runtimes,
+    platform: Platform,
+    process: Process,
+    victim: Load,
+    others: Load,
+}
+
+/// Plays one fault.
+type Fault = fn(&Options) -> io::Result<Vec<Finding>>;
+
+/// Plays all faults, each on a daemon of its own.
+pub fn run(options: &Options) -> io::Result<Vec<Finding>> {
+    let mut findings = Vec::new();
+    let faults: [(&str, Fault); 6] = [
+        ("all servers of a service die", servers_die),
+        ("all servers of a service drain", servers_drain),
+        ("a service comes back, half of it cold", comes_back_cold),
+        ("a flood on one service", flood),
+        ("routes move between services", routes_move),
+        ("services churn", churn),
+    ];
+    for (name, play) in faults {
+        options.run.progress(name);
+        findings.extend(play(options)?);
+    }
+    Ok(findings)
+}
+
+impl Stage {
+    fn start(options: &Options) -> io::Result<Stage> {
+        let layout = Layout::long_tail(SERVERS, SERVICES, LARGEST, ROUTES);
+        Stage::start_with(options, layout)
+    }
+
+    fn start_with(options: &Options, layout: Layout) -> io::Result<Stage> {
+        let runtimes = Runtimes::start()?;
+        let platform = runtimes.platform.block_on(Platform::start(&layout, WORK, options.counter))?;
+        let process = Process::start(&options.daemon, &layout, &platform, &options.settings())?;
+        let load = |services: std::ops::Range<u32>, rate, seed| {
+            Load::for_services(&layout, services, rate, TENANTS, options.spread, seed)
+        };
+        let services = layout.services.len() as u32;
+        let victim = load(VICTIM..VICTIM + 1, VICTIM_RATE, options.run.seed + 1);
+        let others = load(VICTIM + 1..services, OTHERS_RATE, options.run.seed + 2);
+        let stage = Stage { layout, runtimes, platform, process, victim, others };
+        // Connections are open, answer times are known.
+        stage.wait_both(stage.play(&stage.victim, SETTLE), stage.play(&stage.others, SETTLE));
+        Ok(stage)
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.process.daemon.address
+    }
+
+    /// Plays a load beside what follows.
+    fn play(&self, load: &Load, length: Duration) -> JoinHandle<Outcome> {
+        let (load, at, ledger) = (load.clone(), self.address(), self.platform.servers.ledger.clone());
+        self.runtimes.clients.spawn(async move { load.play_noted(at, length, Some(&ledger)).await })
+    }
+
+    fn wait(&self, playing: JoinHandle<Outcome>) -> Outcome {
+        // A load that panicked shows as one without requests.
+        self.runtimes.clients.block_on(playing).unwrap_or_default()
+    }
+
+    fn wait_both(&self, first: JoinHandle<Outcome>, second: JoinHandle<Outcome>) -> (Outcome, Outcome) {
+        (self.wait(first), self.wait(second))
+    }
+
+    fn victim_service(&self) -> Service {
+        self.layout.services[VICTIM as usize]
+    }
+
+    /// Tells discovery this state of the victim's servers; `boot_ms` is given the number of each.
+    fn tell_victim(&self, state: &str, boot_ms: impl Fn(usize) -> f64) {
+        let service = self.victim_service();
+        let servers = service.addresses().enumerate();
+        let targets: Vec<Value> =
+            servers.map(|(n, at)| target(at, self.platform.port, state, boot_ms(n))).collect();
+        self.platform.discovery.change(&targets);
+    }
+
+    fn events(&self) -> Vec<Event> {
+        self.platform.servers.ledger.events()
+    }
+
+    /// Attempts that came to the victim's servers since so many events, by the number of their address.
+    fn sent_to_victim(&self, mark: usize) -> HashMap<usize, u64> {
+        let slots: Vec<usize> = self.victim_service().addresses().filter_map(Layout::slot).collect();
+        let mut sent = HashMap::new();
+        for event in &self.events()[mark..] {
+            if let What::Began(slot) = event.what {
+                if slots.contains(&slot) {
+                    *sent.entry(slot).or_default() += 1;
+                }
+            }
+        }
+        sent
+    }
+
+    fn stretch(&self, options: &Options) -> Duration {
+        Duration::from_secs(options.run.seconds)
+    }
+
+    /// What the others get without and with a fault, in turn; `fault` puts it on and off.
+    fn compare(&self, options: &Options, mut fault: impl FnMut(bool)) -> Compared {
+        let mut compared = Compared::default();
+        let length = self.stretch(options);
+        for pair in 0..PAIRS as u64 {
+            let load = |turn| self.others.with_seed(self.others.seed + 2 * pair + turn + 10);
+            compared.calm.push(self.wait(self.play(&load(0), length)));
+            fault(true);
+            compared.faulty.push(self.wait(self.play(&load(1), length)));
+            fault(false);
+            std::thread::sleep(SETTLE);
+        }
+        compared
+    }
+}
+
+/// What the others got, pair by pair.
+#[derive(Default)]
+struct Compared {
+    calm: Vec<Outcome>,
+    faulty: Vec<Outcome>,
+}
+
+fn p99_ms(outcome: &Outcome) -> f64 {
+    outcome.answer_times.value_at_quantile(0.99) as f64 / 1000.0
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
+
+impl Compared {
+    fn findings(&self, fault: &'static str) -> Vec<Finding> {
+        let not_served = |of: &[Outcome]| of.iter().map(|o| o.asked - o.served).sum::<u64>();
+        let asked: u64 = self.faulty.iter().map(|o| o.asked).sum();
+        let (calm, faulty) = (not_served(&self.calm), not_served(&self.faulty));
+        let ratios = self.calm.iter().zip(&self.faulty).map(|(c, f)| p99_ms(f) / p99_ms(c).max(0.001));
+        let ratio = median(ratios.collect());
+        let p99 = |of: &[Outcome]| median(of.iter().map(p99_ms).collect());
+        let (calm_p99, faulty_p99) = (p99(&self.calm), p99(&self.faulty));
+        vec![
+            Finding::new(
+                fault,
+                "every request of the others is served",
+                format!("{faulty} of {asked} not served ({calm} without the fault)"),
+                faulty == 0,
+            ),
+            Finding::new(
+                fault,
+                format!("p99 of the others within {P99_MULTIPLE} times"),
+                format!("{ratio:.2} times ({calm_p99:.2} ms, {faulty_p99:.2} ms)"),
+                ratio <= P99_MULTIPLE,
+            ),
+        ]
+    }
+}
+
+fn servers_die(options: &Options) -> io::Result<Vec<Finding>> {
+    let stage = Stage::start(options)?;
+    let mut playing = None;
+    let compared = stage.compare(options, |on| {
+        let behaviour = if on { Behaviour::Dead } else { Behaviour::Serving };
+        stage.platform.servers.set(stage.victim_service().addresses(), behaviour);
+        playing = on.then(|| stage.play(&stage.victim, stage.stretch(options)));
+    });
+    Ok(compared.findings("all servers of a service die"))
+}
+
+fn servers_drain(options: &Options) -> io::Result<Vec<Finding>> {
+    let fault = "all servers of a service drain";
+    let stage = Stage::start(options)?;
+    let (mut late, mut mark, mut playing) = (0, 0, None);
+    let compared = stage.compare(options, |on| {
+        if on {
+            stage.tell_victim("DRAINING", |_| 0.0);
+            std::thread::sleep(DRAIN_GRACE);
+            mark = stage.events().len();
+            playing = Some(stage.play(&stage.victim, stage.stretch(options)));
+        } else {
+            late += stage.sent_to_victim(mark).values().sum::<u64>();
+            stage.tell_victim("SERVING", |_| 0.0);
+        }
+    });
+    let mut findings = compared.findings(fault);
+    findings.push(Finding::new(
+        fault,
+        format!("nothing is sent to them {DRAIN_GRACE:?} after they were told"),
+        format!("{late} requests"),
+        late == 0,
+    ));
+    Ok(findings)
+}
+
+/// All servers of the service die and are told gone. Then they come back: every second one has just started.
+fn comes_back_cold(options: &Options) -> io::Result<Vec<Finding>> {
+    let fault = "a service comes back, half of it cold";
+    let stage = Stage::start(options)?;
+    let is_cold = |number: usize| number.is_multiple_of(2);
+    let addresses: Vec<Ipv4Addr> = stage.victim_service().addresses().collect();
+    let (mut cold, mut warm) = (0, 0);
+    let compared = stage.compare(options, |on| {
+        if !on {
+            return;
+        }
+        stage.platform.servers.set(addresses.iter().copied(), Behaviour::Dead);
+        stage.tell_victim("DELETED", |_| 0.0);
+        std::thread::sleep(SETTLE);
+        stage.platform.servers.set(addresses.iter().copied(), Behaviour::Serving);
+        let started = unix_ms();
+        stage.tell_victim("SERVING", |number| if is_cold(number) { started } else { 0.0 });
+        let mark = stage.events().len();
+        stage.wait(stage.play(&stage.victim, COLD_SPAN));
+        for (slot, sent) in stage.sent_to_victim(mark) {
+            let number = addresses.iter().position(|at| Layout::slot(*at) == Some(slot));
+            let total = if number.is_some_and(is_cold) { &mut cold } else { &mut warm };
+            *total += sent;
+        }
+    });
+    let mut findings = compared.findings(fault);
+    let share = cold as f64 / (warm as f64).max(1.0);
+    findings.push(Finding::new(
+        fault,
+        format!("in {COLD_SPAN:?} a cold server gets at most {COLD_SHARE} of what a warm one gets"),
+        format!("{cold} to cold, {warm} to as many warm ones: {share:.2}"),
+        warm > 0 && share <= COLD_SHARE,
+    ));
+    Ok(findings)
+}
+
+fn flood(options: &Options) -> io::Result<Vec<Finding>> {
+    let stage = Stage::start(options)?;
+    let flood = stage.victim.with_rate(FLOOD_RATE);
+    let mut playing = None;
+    let compared = stage.compare(options, |on| {
+        playing = on.then(|| stage.play(&flood, stage.stretch(options)));
+    });
+    Ok(compared.findings("a flood on one service"))
+}
+
+fn routes_move(options: &Options) -> io::Result<Vec<Finding>> {
+    let fault = "routes move between services";
+    let stage = Stage::start(options)?;
+    let all = Load::of(&stage.layout, OTHERS_RATE, TENANTS, options.spread, options.run.seed + 3);
+    let mark = stage.events().len();
+    let playing = stage.play(&all, MOVE_EVERY * (MOVES + 1));
+    let mut taken = 0;
+    for n in 0..MOVES {
+        std::thread::sleep(MOVE_EVERY);
+        let file = if n.is_multiple_of(2) {
+            stage.layout.operator_file_moved()
+        } else {
+            stage.layout.operator_file()
+        };
+        let line = stage.process.reload(&file)?;
+        taken += u32::from(!line.contains("stay in force"));
+    }
+    let outcome = stage.wait(playing);
+    let verdict = judge(&stage.events()[mark..]);
+    let counted = |rule: &str, seen: String, kept| Finding::new(fault, rule, seen, kept);
+    Ok(vec![
+        counted("every reload is taken", format!("{taken} of {MOVES}"), taken == MOVES),
+        counted(
+            "no request is lost",
+            format!("{} of {} served, {} rules broken", outcome.served, outcome.asked, verdict.broken.len()),
+            outcome.asked > 0 && outcome.served == outcome.asked && verdict.broken.is_empty(),
+        ),
+        counted(
+            "none is repeated",
+            format!("{} attempts of {} requests", verdict.attempts, verdict.asked),
+            verdict.attempts == verdict.asked,
+        ),
+    ])
+}
+
+fn churn(options: &Options) -> io::Result<Vec<Finding>> {
+    let stage = Stage::start_with(
+        options,
+        Layout::long_tail(CHURN_SERVICES * 2, CHURN_SERVICES, LARGEST, CHURN_SERVICES),
+    )?;
+    let all = Load::of(&stage.layout, CHURN_RATE, TENANTS, options.spread, options.run.seed + 4);
+    let mut first_kib = 0;
+    let mut refused_reloads = 0;
+    for generation in 1..=CHURN_GENERATIONS {
+        let line = stage.process.reload(&stage.layout.operator_file_of(&format!("g{generation}-")))?;
+        refused_reloads += u32::from(line.contains("stay in force"));
+        stage.wait(stage.play(&all.with_seed(all.seed + u64::from(generation)), SETTLE));
+        if generation == CHURN_FIRST {
+            first_kib = stage.process.daemon.rss_kib()?;
+        }
+    }
+    let last_kib = stage.process.daemon.rss_kib()?;
+    let ratio = last_kib as f64 / first_kib.max(1) as f64;
+    let services = CHURN_SERVICES * CHURN_GENERATIONS;
+    Ok(vec![Finding::new(
+        "services churn",
+        format!("memory after {services} services within {CHURN_MULTIPLE} times that after the first tenth"),
+        format!("{ratio:.2} times ({first_kib} KiB, {last_kib} KiB), {refused_reloads} reloads refused"),
+        refused_reloads == 0 && ratio <= CHURN_MULTIPLE,
+    )])
+}
+
+fn unix_ms() -> f64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_secs_f64() * 1000.0
+}
--- a/lab/src/scale/daemon/layout.rs
+++ b/lab/src/scale/daemon/layout.rs
@@ -73,11 +73,6 @@
         Layout { services: sizes.iter().map(place).collect(), routes, named: true }
     }
 
-    /// Servers in all.
-    pub fn servers(&self) -> u32 {
-        self.services.iter().map(|s| s.servers).sum()
-    }
-
     /// The number of a server's address among all that networks hold; none for an address outside of them.
     pub fn slot(address: Ipv4Addr) -> Option<usize> {
         u32::from(address).checked_sub(FIRST_NETWORK).map(|slot| slot as usize)
@@ -126,24 +121,27 @@
 
     /// The operator's file: services with their networks and routes, where they are named.
     pub fn operator_file(&self) -> String {
-        let mut text = String::from("admission {\n    by-address #false\n}\n");
-        if self.named {
-            self.put_services(&mut text, |route| route % self.services.len() as u32);
-        }
-        text
+        self.operator_file_of("s")
+    }
+
+    /// The same with other names of services: this and a number.
+    pub fn operator_file_of(&self, prefix: &str) -> String {
+        self.file(prefix, |route| route % self.services.len() as u32)
     }
 
     /// The same with each route moved to the service after its own.
     pub fn operator_file_moved(&self) -> String {
-        let mut text = String::from("admission {\n    by-address #false\n}\n");
-        self.put_services(&mut text, |route| (route + 1) % self.services.len() as u32);
-        text
+        self.file("s", |route| (route + 1) % self.services.len() as u32)
     }
 
-    fn put_services(&self, text: &mut String, service_of: impl Fn(u32) -> u32) {
+    fn file(&self, prefix: &str, service_of: impl Fn(u32) -> u32) -> String {
+        let mut text = String::from("admission {\n    by-address #false\n}\n");
+        if !self.named {
+            return text;
+        }
         text.push_str("services {\n    route-field \"route\"\n");
         for (n, service) in self.services.iter().enumerate() {
-            let _ = write!(text, "    service \"s{n}\" {{ servers");
+            let _ = write!(text, "    service \"{prefix}{n}\" {{ servers");
             for network in 0..service.networks() {
                 let at = Ipv4Addr::from(FIRST_NETWORK + (service.first_network + network) * NETWORK_SIZE);
                 let _ = write!(text, " \"{at}/24\"");
@@ -151,9 +149,10 @@
             text.push_str(" }\n");
         }
         for route in 0..self.routes {
-            let _ = writeln!(text, "    route \"r{route}\" service=\"s{}\"", service_of(route));
+            let _ = writeln!(text, "    route \"r{route}\" service=\"{prefix}{}\"", service_of(route));
         }
         text.push_str("}\n");
+        text
     }
 }
 
--- a/lab/src/scale/daemon/load.rs
+++ b/lab/src/scale/daemon/load.rs
@@ -1,6 +1,7 @@
 //! What clients ask: tenants evenly, services by their size.
 
 use super::layout::Layout;
+use crate::judge::Ledger;
 use crate::site::request_with;
 use crate::usual::{play_worded, Outcome, Usual};
 use rand::rngs::StdRng;
@@ -58,6 +59,11 @@
         Load { seed, ..self.clone() }
     }
 
+    /// The same at another rate.
+    pub fn with_rate(&self, rate: f64) -> Load {
+        Load { rate, ..self.clone() }
+    }
+
     /// What a request adds to its list of names and values.
     fn route(&self, random: &mut StdRng) -> String {
         let Some((sum, _)) = self.routes.last() else { return String::new() };
@@ -68,11 +74,16 @@
 
     /// Plays it in an open loop for so long.
     pub async fn play(&self, to: SocketAddr, length: Duration) -> Outcome {
+        self.play_noted(to, length, None).await
+    }
+
+    /// The same, with what was asked and answered noted in the ledger.
+    pub async fn play_noted(&self, to: SocketAddr, length: Duration, ledger: Option<&Ledger>) -> Outcome {
         let word = |random: &mut StdRng, tenant, id| {
             let route = self.route(random);
             request_with(tenant, id, self.spread, &route)
         };
-        play_worded(self.clients(self.rate), to, length, word).await
+        play_worded(self.clients(self.rate), to, length, ledger, word).await
     }
 
     /// Asks once for each tenant at this rate.
@@ -84,7 +95,7 @@
             request_with(tenant, id, self.spread, &route)
         };
         let length = Duration::from_secs_f64(self.tenants as f64 / rate);
-        play_worded(self.clients(rate), to, length, word).await
+        play_worded(self.clients(rate), to, length, None, word).await
     }
 
     fn clients(&self, rate: f64) -> Usual {
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -49,6 +49,8 @@
     Events,
     /// The real daemon on loopback; see `--daemon`.
     Daemon,
+    /// Faults of one service on the real daemon, judged by what the others notice; see `--daemon`.
+    Faults,
     /// All of them but the real daemon, each in a process of its own.
     All,
 }
@@ -177,6 +179,8 @@
     },
     /// Sizes with all roles at once, which count different things.
     AllRoles,
+    /// Sizes with a role that has but one.
+    Fixed,
 }
 
 impl std::error::Error for BadSizes {}
@@ -187,6 +191,7 @@
             BadSizes::Outside { size, varied, allowed } => {
                 write!(f, "--sizes: {size} {varied}: {} to {} are allowed", allowed.start(), allowed.end())
             }
+            BadSizes::Fixed => write!(f, "--sizes: this role has a size of its own"),
             BadSizes::AllRoles => write!(f, "--sizes goes with one role: each counts something else"),
         }
     }
@@ -209,6 +214,9 @@
         let entry = ROLES.iter().find(|entry| entry.role == self);
         let told = entry.map(|entry| (entry.varied, &entry.allowed, entry.sizes));
         let daemon = (self == Role::Daemon).then_some(("servers", &DAEMON_ALLOWED, DAEMON_SIZES));
+        if self == Role::Faults {
+            return if given.is_empty() { Ok(Vec::new()) } else { Err(BadSizes::Fixed) };
+        }
         let Some((varied, allowed, own)) = told.or(daemon) else {
             return if given.is_empty() { Ok(Vec::new()) } else { Err(BadSizes::AllRoles) };
         };
@@ -222,7 +230,7 @@
         Ok(sizes)
     }
 
-    /// Runs it in this process; nothing for [`Role::All`] and [`Role::Daemon`].
+    /// Runs it in this process; nothing for [`Role::All`], [`Role::Daemon`] and [`Role::Faults`].
     pub fn run(self, run: &Run) -> Option<RoleReport> {
         let entry = ROLES.iter().find(|entry| entry.role == self)?;
         Some((entry.run)(run))
--- a/lab/src/usual.rs
+++ b/lab/src/usual.rs
@@ -1,6 +1,7 @@
 //! Usual clients: requests at random times, whatever became of those before (an open loop with exponential
 //! gaps), on connections that are kept and used again.
 
+use crate::judge::{self, Ledger, What};
 use crate::site::request;
 use hdrhistogram::Histogram;
 use rand::rngs::StdRng;
@@ -54,10 +55,24 @@
     }
 }
 
+#[derive(Clone, Copy)]
 enum Answer {
     Served,
     Refused,
     Failed,
+    /// The connection ended, there was none, or the time was over.
+    None,
+}
+
+impl Answer {
+    fn noted(self) -> What {
+        match self {
+            Answer::Served => What::Answered(judge::Answer::Served),
+            Answer::Refused => What::Answered(judge::Answer::Refused),
+            Answer::Failed => What::Answered(judge::Answer::Failed),
+            Answer::None => What::Unanswered { excused: false },
+        }
+    }
 }
 
 type Connection = BufReader<TcpStream>;
@@ -133,7 +148,7 @@
             Some(connection) => connection,
             None => match connect(request.from, shared.to).await {
                 Ok(stream) => BufReader::new(stream),
-                Err(_) => return Answer::Failed,
+                Err(_) => return Answer::None,
             },
         };
         match ask(&mut connection, request).await {
@@ -144,21 +159,23 @@
                 return answer;
             }
             Err(_) if again => {}
-            Err(_) => return Answer::Failed,
+            Err(_) => return Answer::None,
         }
     }
 }
 
 /// Plays usual clients for so long; what became of the requests that were due in that time.
 pub async fn play(usual: Usual, to: SocketAddr, length: Duration) -> Outcome {
-    play_worded(usual, to, length, |_, customer, id| request(customer, id)).await
+    play_worded(usual, to, length, None, |_, customer, id| request(customer, id)).await
 }
 
-/// The same with requests that `word` makes of a customer and a number.
+/// The same with requests that `word` makes of a customer and a number; all of them may be sent on twice. What they
+/// ask and are answered is noted in the ledger.
 pub async fn play_worded(
     usual: Usual,
     to: SocketAddr,
     length: Duration,
+    ledger: Option<&Ledger>,
     mut word: impl FnMut(&mut StdRng, u64, u64) -> Vec<u8>,
 ) -> Outcome {
     let mut random = StdRng::seed_from_u64(usual.seed);
@@ -177,13 +194,19 @@
         let fresh = random.random_bool(usual.fresh);
         let from = Ipv4Addr::new(127, 1, 0, 1 + (id % u64::from(usual.addresses.max(1))) as u8);
         let request = Request { from, id, bytes: word(&mut random, customer, id), fresh };
-        let shared = Arc::clone(&shared);
+        let (shared, ledger) = (Arc::clone(&shared), ledger.cloned());
         tasks.push(tokio::spawn(async move {
+            if let Some(ledger) = &ledger {
+                ledger.note(id, What::Asked { repeatable: true });
+            }
             let sent = Instant::now();
             let all = request_once(&shared, &request);
-            let answer = timeout(Duration::from_secs(4), all).await.unwrap_or(Answer::Failed);
+            let answer = timeout(Duration::from_secs(4), all).await.unwrap_or(Answer::None);
             let answered = sent.elapsed().as_micros() as u64;
             let took = (start + due).elapsed().as_micros() as u64;
+            if let Some(ledger) = &ledger {
+                ledger.note(id, answer.noted());
+            }
             let mut outcome = held(&shared.outcome);
             outcome.asked += 1;
             match answer {
@@ -193,7 +216,7 @@
                     outcome.answer_times.saturating_record(answered.max(1));
                 }
                 Answer::Refused => outcome.refused += 1,
-                Answer::Failed => outcome.failed += 1,
+                Answer::Failed | Answer::None => outcome.failed += 1,
             }
         }));
     }
