--- a/lab/src/scale/configuration.rs
+++ b/lab/src/scale/configuration.rs
@@ -13,7 +13,7 @@
 pub fn run(run: &Run) -> RoleReport {
     let mut bytes = Figure::measured("file", "bytes");
     let mut parse = Figure::measured("processor time to parse the file", "ms");
-    let mut check = Figure::measured("processor time to parse and check such settings as there are", "ms");
+    let mut check = Figure::measured("processor time to parse and check as many addresses", "ms");
     let mut share = Figure::reckoned("21,000 changes a day, the file parsed at each", "% of a core");
     let mut rate = Figure::reckoned("21,000 changes a day, the file sent at each", "bytes/s");
     let mut notes = Vec::new();
--- a/lab/src/scale/events.rs
+++ b/lab/src/scale/events.rs
@@ -4,7 +4,7 @@
 use super::listing::{self, Entry, State};
 use super::measure::timed;
 use super::report::{Figure, RoleReport};
-use super::{membership, targets, Run};
+use super::{list, targets, Run};
 use std::time::Duration;
 
 /// Servers and ingresses that a zone holds.
@@ -15,9 +15,6 @@
 const SERVICE: usize = 17;
 /// A service of two regions, half of its servers in each.
 const SPLIT_SERVICE: usize = 16;
-/// Members of the fleet whose halves lose each other.
-const SPLIT_MEMBERS: usize = 100;
-const SPLIT_LASTS: Duration = Duration::from_secs(300);
 const STEP: Duration = Duration::from_millis(100);
 /// The span over which a cold server must not get too much.
 const TIP_AFTER: Duration = Duration::from_secs(3);
@@ -26,7 +23,8 @@
 pub fn run(run: &Run) -> RoleReport {
     let mut figures = Vec::new();
     run.progress("events: one ingress restarts");
-    restart(run, &mut figures);
+    let first = run.sizes[0];
+    restart(run, first, &mut figures);
     for &size in &run.sizes {
         run.progress("events: a rack goes");
         rack(run, size, &mut figures);
@@ -36,16 +34,15 @@
         zone(run, size, &mut figures);
     }
     run.progress("events: a zone's servers in the whole list");
-    zone_in_whole_list(run, &mut figures);
-    run.progress("events: membership over a split");
-    split(run, &mut figures);
+    zone_in_whole_list(run, first, &mut figures);
+    control(&run.sizes, &mut figures);
     let notes = vec![
         format!("a restart and a zone's changes: one ingress that holds all {} servers", targets::SERVERS),
         format!("a rack: services of {SERVICE}, one server of which is in it; nobody is told for 10 s"),
         format!("regions: a service of {SPLIT_SERVICE}, half of its servers out of reach, for 30 s"),
         "a zone: as many servers an ingress as in the plan, one service; 7.7% of both go and return cold"
             .into(),
-        format!("membership: {SPLIT_MEMBERS} members, two halves apart for {SPLIT_LASTS:?}"),
+        "membership in the same events is measured with its role".into(),
     ];
     run.report("events", "ingresses", figures, notes)
 }
@@ -62,7 +59,7 @@
 }
 
 /// One ingress starts with nothing, and is told the whole list.
-fn restart(run: &Run, figures: &mut Vec<Figure>) {
+fn restart(run: &Run, size: usize, figures: &mut Vec<Figure>) {
     let line = listing::whole(targets::SERVERS);
     let mut world = World::new(run.seed);
     let (mut hollow, took) = timed(|| {
@@ -73,9 +70,9 @@
     let load = Load { rate: targets::REQUESTS_PER_INGRESS, tenants: targets::TENANTS };
     hollow.run(Duration::from_secs(1), Some(load), &mut world);
     let first = hollow.traffic;
-    one(figures, "restart: bytes of the list", "bytes", 1, line.len() as f64 + 1.0);
-    one(figures, "restart: processor time until the list is in", "ms", 1, took.as_secs_f64() * 1e3);
-    one(figures, "restart: requests refused in the first second", "%", 1, refused(&first));
+    one(figures, "restart: bytes of the list", "bytes", size, line.len() as f64 + 1.0);
+    one(figures, "restart: processor time until the list is in", "ms", size, took.as_secs_f64() * 1e3);
+    one(figures, "restart: requests refused in the first second", "%", size, refused(&first));
 }
 
 fn refused(traffic: &Traffic) -> f64 {
@@ -190,7 +187,7 @@
 }
 
 /// The changes that tell of a zone, at an ingress that holds all servers.
-fn zone_in_whole_list(run: &Run, figures: &mut Vec<Figure>) {
+fn zone_in_whole_list(run: &Run, size: usize, figures: &mut Vec<Figure>) {
     let mut world = World::new(run.seed);
     let mut hollow = Hollow::new(targets::INGRESSES, 0, run.seed);
     hollow.take_line(&listing::whole(targets::SERVERS), &mut world);
@@ -203,22 +200,23 @@
             figures,
             &format!("zone: bytes at an ingress when it {what}"),
             "bytes",
-            1,
+            size,
             line.len() as f64 + 1.0,
         );
         let name = format!("zone: processor time at an ingress when it {what}");
-        one(figures, &name, "ms", 1, took.as_secs_f64() * 1e3);
+        one(figures, &name, "ms", size, took.as_secs_f64() * 1e3);
     }
 }
 
-/// Membership while two halves do not hear each other, and after.
-fn split(run: &Run, figures: &mut Vec<Figure>) {
-    let cost = membership::split(SPLIT_MEMBERS, SPLIT_LASTS, run.seed);
-    let mut put = |what: &str, unit: &str, value: f64| {
-        one(figures, &format!("regions: membership: {what}"), unit, SPLIT_MEMBERS, value);
-    };
-    put("fullest second of a member while apart", "bytes/s", cost.peak_split);
-    put("fullest second of a member after they met", "bytes/s", cost.peak_healing);
-    put("all agree after", "s", cost.agreed_after.unwrap_or(f64::NAN));
-    put("processor time of a member over all of it", "ms", cost.processor_time * 1e3);
+/// All control machines restart, and every ingress opens its watch again.
+fn control(sizes: &[usize], figures: &mut Vec<Figure>) {
+    let longest_wait = list::limits().list_again_most;
+    // Calls are spread over half of the wait at random.
+    let calls = targets::INGRESSES as f64 / longest_wait.mul_f64(0.75).as_secs_f64();
+    let whole = (listing::whole(targets::SERVERS).len() + 1) as f64 * targets::INGRESSES as f64;
+    let mut again = Figure::reckoned("control restarts: watches opened again by 4,300 ingresses", "calls/s");
+    let mut bytes = Figure::reckoned("control restarts: whole lists to 4,300 ingresses", "bytes");
+    sizes.iter().for_each(|&size| again.push(size, &[calls]));
+    sizes.iter().for_each(|&size| bytes.push(size, &[whole]));
+    figures.extend([again, bytes]);
 }
--- a/lab/src/scale/list.rs
+++ b/lab/src/scale/list.rs
@@ -21,7 +21,7 @@
     let mut memory = Figure::measured("memory of the ingress", "MiB");
     let mut start = Figure::reckoned("whole list over 10 s of the control budget", "times");
     let (mut held, mut notes) = (Vec::new(), Vec::new());
-    let bound = line_bound();
+    let bound = limits().list_bytes;
     for &size in &run.sizes {
         run.progress(&format!("list: {size} servers"));
         let line = listing::whole(size);
@@ -59,11 +59,11 @@
     run.report("list", "servers", figures, notes)
 }
 
-/// The longest line of a list that an ingress takes.
-pub fn line_bound() -> usize {
+/// The limits of an ingress of the full size.
+pub fn limits() -> Limits {
     let machine = roseyard_operator::Machine { sockets: 1024, allowed: 1024 };
     let operator = roseyard_operator::Effective::new(&machine);
-    Limits::new(&operator, 192, &super::hollow::options(targets::INGRESSES, 0)).list_bytes
+    Limits::new(&operator, 192, &super::hollow::options(targets::INGRESSES, 0))
 }
 
 fn found(line: &[u8]) -> roseyard_engine::List {
--- a/lab/src/scale/membership.rs
+++ b/lab/src/scale/membership.rs
@@ -18,6 +18,10 @@
 const FLIGHT: Duration = Duration::from_millis(2);
 const PORT: u16 = 7946;
 const LIFE: u64 = 1_700_000_000_000;
+/// Regions lose each other for so long.
+const SPLIT_LASTS: Duration = Duration::from_secs(300);
+/// A zone's share of the ingresses.
+const ZONE_SHARE: f64 = 330.0 / 4300.0;
 const AGREE_WITHIN: Duration = Duration::from_secs(120);
 /// Words of restarts that a sample tells to one member.
 const WORDS: usize = 40;
@@ -31,6 +35,10 @@
     let mut word = Figure::measured("one member: processor time of a word", "us");
     let mut join = Figure::measured("one member: processor time to take all records", "ms");
     let mut join_one = Figure::measured("one member: bytes of all records", "bytes");
+    let mut split_peak = Figure::measured("halves apart for 300 s: fullest second of a member", "bytes/s");
+    let mut split_heals = Figure::measured("halves apart for 300 s: all agree after they met", "s");
+    let mut zone_peak = Figure::measured("a zone of 7.7% dies: fullest second of a member", "bytes/s");
+    let mut zone_agreed = Figure::measured("a zone of 7.7% dies: all hold it gone", "s");
     let mut notes = Vec::new();
     for &size in &run.sizes {
         run.progress(&format!("membership: one member of {size}"));
@@ -77,10 +85,18 @@
         }
         fleet_cost.push(size, &costs);
         fleet_bytes.push(size, &bytes);
+        run.progress(&format!("membership: a fleet of {size} in failures"));
+        let cost = fleet.split_for(SPLIT_LASTS);
+        split_peak.push(size, &[cost.peak.max(cost.peak_healing)]);
+        split_heals.push(size, cost.agreed_after.as_slice());
+        let cost = fleet.lose_zone();
+        zone_peak.push(size, &[cost.peak]);
+        zone_agreed.push(size, cost.agreed_after.as_slice());
     }
     let most = Settings::new(targets::INGRESSES).most;
     notes.push(format!("the program remembers {most} members at most; here as many as there are"));
-    let figures = vec![fleet_cost, fleet_bytes, join_bytes, rest, word, join, join_one];
+    let whole = [fleet_cost, fleet_bytes, join_bytes, split_peak, split_heals, zone_peak, zone_agreed];
+    let figures = whole.into_iter().chain([rest, word, join, join_one]).collect();
     run.report("membership", "members", figures, notes)
 }
 
@@ -134,48 +150,17 @@
     bytes: u64,
     /// Members below this number and the others do not hear each other.
     split: Option<usize>,
+    dead: Vec<bool>,
 }
 
-/// What a split of a fleet into two halves has cost.
-pub struct SplitCost {
-    /// Bytes a second of a member, in and out, over the split's fullest second.
-    pub peak_split: f64,
-    /// The same after the halves have met again.
-    pub peak_healing: f64,
-    /// Seconds until all agree again, if they do.
-    pub agreed_after: Option<f64>,
-    /// Processor time of a member over the split and the healing, in seconds.
-    pub processor_time: f64,
-}
-
-/// Plays a fleet whose halves do not hear each other for a while.
-pub fn split(members: usize, lasts: Duration, seed: u64) -> SplitCost {
-    let mut fleet = Fleet::new(members, seed);
-    fleet.until_agreed();
-    fleet.run(Duration::from_secs(30));
-    let second = Duration::from_secs(1);
-    let peak = |fleet: &mut Fleet| {
-        let before = fleet.bytes;
-        fleet.run(second);
-        2.0 * (fleet.bytes - before) as f64 / members as f64
-    };
-    let (costs, took) = timed(|| {
-        fleet.split = Some(members / 2);
-        let (mut peak_split, mut peak_healing) = (0.0f64, 0.0f64);
-        for _ in 0..lasts.as_secs() {
-            peak_split = peak_split.max(peak(&mut fleet));
-        }
-        fleet.split = None;
-        let mut agreed_after = None;
-        for after in 1..=AGREE_WITHIN.as_secs() {
-            peak_healing = peak_healing.max(peak(&mut fleet));
-            if agreed_after.is_none() && fleet.agrees() {
-                agreed_after = Some(after as f64);
-            }
-        }
-        SplitCost { peak_split, peak_healing, agreed_after, processor_time: 0.0 }
-    });
-    SplitCost { processor_time: took.as_secs_f64() / members as f64, ..costs }
+/// What a failure of many members at once has cost, in bytes a second of a member, in and out, in the fullest second.
+struct FailureCost {
+    /// While the failure lasts.
+    peak: f64,
+    /// After its end.
+    peak_healing: f64,
+    /// Seconds until all hold the same again; none if they never did.
+    agreed_after: Option<f64>,
 }
 
 impl Fleet {
@@ -190,6 +175,7 @@
             sent: 0,
             bytes: 0,
             split: None,
+            dead: vec![false; members],
         };
         (0..members).for_each(|n| fleet.tell(n, Event::Due));
         fleet
@@ -236,7 +222,7 @@
 
     fn deliver(&mut self, datagram: &Datagram) {
         let cut = |at: usize| (datagram.from < at) != (datagram.to < at);
-        if self.split.is_some_and(cut) {
+        if self.split.is_some_and(cut) || self.dead.get(datagram.to).is_none_or(|dead| *dead) {
             return;
         }
         let Some((_, guard)) = self.members.get_mut(datagram.to) else { return };
@@ -262,8 +248,51 @@
     }
 
     fn agrees(&self) -> bool {
-        let (sum, all) = (self.members[0].0.sum(), self.members.len());
-        self.members.iter().all(|(swim, _)| swim.sum() == sum && swim.quorum().seen == all)
+        let alive =
+            || self.members.iter().zip(&self.dead).filter(|(_, dead)| !**dead).map(|((swim, _), _)| swim);
+        let (sum, seen) = (alive().next().map(Swim::sum), alive().count());
+        alive().all(|swim| Some(swim.sum()) == sum && swim.quorum().seen == seen)
+    }
+
+    /// Goes on for a second: bytes of a member in it, in and out.
+    fn second(&mut self) -> f64 {
+        let before = self.bytes;
+        self.run(Duration::from_secs(1));
+        2.0 * (self.bytes - before) as f64 / self.members.len() as f64
+    }
+
+    /// The fullest second until all agree, and after how many seconds they do.
+    fn heal(&mut self) -> (f64, Option<f64>) {
+        let mut peak = 0.0f64;
+        for after in 1..=AGREE_WITHIN.as_secs() {
+            peak = peak.max(self.second());
+            if self.agrees() {
+                return (peak, Some(after as f64));
+            }
+        }
+        (peak, None)
+    }
+
+    /// Two halves do not hear each other for a while.
+    fn split_for(&mut self, lasts: Duration) -> FailureCost {
+        self.split = Some(self.members.len() / 2);
+        let peak = (0..lasts.as_secs()).map(|_| self.second()).fold(0.0, f64::max);
+        self.split = None;
+        let (peak_healing, agreed_after) = self.heal();
+        FailureCost { peak, peak_healing, agreed_after }
+    }
+
+    /// A zone's share of the members dies at once.
+    fn lose_zone(&mut self) -> FailureCost {
+        let dying = (self.members.len() as f64 * ZONE_SHARE).ceil() as usize;
+        for number in 0..dying {
+            self.dead[number] = true;
+            if let Some(at) = self.due_of[number].take() {
+                self.due.remove(&(at, number));
+            }
+        }
+        let (peak, agreed_after) = self.heal();
+        FailureCost { peak, peak_healing: 0.0, agreed_after }
     }
 }
 
