--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -37,6 +37,7 @@
 
 const SCALE_EXAMPLES: &str = "Examples:
   roseyard-lab scale --role decision --sizes 17,1000,54000
+  roseyard-lab scale --role daemon --daemon-before old/roseyard --services --repeats 3
   roseyard-lab scale --role all --json scale.json";
 
 #[derive(Debug, clap::Args)]
@@ -48,12 +49,36 @@
     /// role has its own if none are given.
     #[arg(long, value_delimiter = ',')]
     sizes: Vec<usize>,
-    /// Virtual seconds of a sample.
+    /// Virtual seconds of a sample; with '--role daemon' real seconds of load.
     #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=600))]
     seconds: u64,
     /// Samples at each size.
     #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u16).range(1..=100))]
     repeats: u16,
+    /// With '--role daemon': the daemon's program; by default the one beside this one.
+    #[arg(long)]
+    daemon: Option<PathBuf>,
+    /// With '--role daemon': an earlier version of it, measured in turn with the other.
+    #[arg(long)]
+    daemon_before: Option<PathBuf>,
+    /// With '--role daemon': divide the servers into services too, 3,200 of them at full size.
+    #[arg(long)]
+    services: bool,
+    /// With '--role daemon': play 1 and 95,000 tenants too, at the greatest size.
+    #[arg(long)]
+    all_tenants: bool,
+    /// With '--role daemon': run without a shared counter.
+    #[arg(long)]
+    without_counter: bool,
+    /// With '--role daemon': the settings forbid probes of servers.
+    #[arg(long)]
+    without_probes: bool,
+    /// With '--role daemon': requests a second.
+    #[arg(long, default_value_t = 256.0, value_parser = rate)]
+    rate: f64,
+    /// With '--role daemon': ingresses through which each tenant's requests come.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(1..=4_300))]
+    spread: u32,
     /// Where the figures are written as JSON; - for the standard output, in place of the tables.
     #[arg(long)]
     json: Option<PathBuf>,
@@ -147,6 +172,7 @@
     };
     let reports = match args.role.run(&run) {
         Some(report) => vec![report],
+        None if args.role == Role::Daemon => scale::daemon::run(&daemon_options(args, &run)?)?,
         None => Role::each().map(|role| run_apart(args, role)).collect::<io::Result<_>>()?,
     };
     let json = serde_json::json!({"seed": run.seed, "seconds": run.seconds, "roles": reports});
@@ -162,6 +188,20 @@
     Ok(())
 }
 
+fn daemon_options(args: &ScaleArgs, run: &Run) -> io::Result<scale::daemon::Options> {
+    Ok(scale::daemon::Options {
+        daemon: beside(args.daemon.as_deref())?,
+        before: args.daemon_before.as_deref().map(|path| beside(Some(path))).transpose()?,
+        services: args.services,
+        all_tenants: args.all_tenants,
+        counter: !args.without_counter,
+        probes: !args.without_probes,
+        rate: args.rate,
+        spread: args.spread,
+        run: run.clone(),
+    })
+}
+
 /// Runs a role in a process of its own: what one has held says nothing of the memory of the next.
 fn run_apart(args: &ScaleArgs, role: Role) -> io::Result<RoleReport> {
     let (seconds, seed, repeats) =
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod configuration;
 mod counter;
+pub mod daemon;
 mod decision;
 mod discovery;
 mod events;
@@ -46,7 +47,9 @@
     Servers,
     /// Failures and restarts at size.
     Events,
-    /// All of them, each in a process of its own.
+    /// The real daemon on loopback; see `--daemon`.
+    Daemon,
+    /// All of them but the real daemon, each in a process of its own.
     All,
 }
 
@@ -128,6 +131,10 @@
     Entry { role: Role::Events, varied: "ingresses", allowed: 10..=430, sizes: &[43], run: events::run },
 ];
 
+/// Numbers of servers that the real daemon is measured with, and those that it may be.
+const DAEMON_SIZES: &[usize] = &[17, 1_000, 4_000, 16_000, 54_000];
+const DAEMON_ALLOWED: RangeInclusive<usize> = 1..=targets::SERVERS;
+
 /// What a role is run with.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -199,20 +206,23 @@
 
     /// The sizes to run it with: those given, or its own; the least first.
     pub fn sizes(self, given: &[usize]) -> Result<Vec<usize>, BadSizes> {
-        let Some(entry) = ROLES.iter().find(|entry| entry.role == self) else {
+        let entry = ROLES.iter().find(|entry| entry.role == self);
+        let told = entry.map(|entry| (entry.varied, &entry.allowed, entry.sizes));
+        let daemon = (self == Role::Daemon).then_some(("servers", &DAEMON_ALLOWED, DAEMON_SIZES));
+        let Some((varied, allowed, own)) = told.or(daemon) else {
             return if given.is_empty() { Ok(Vec::new()) } else { Err(BadSizes::AllRoles) };
         };
-        if let Some(&size) = given.iter().find(|size| !entry.allowed.contains(size)) {
-            let (varied, allowed) = (entry.varied, entry.allowed.clone());
+        if let Some(&size) = given.iter().find(|size| !allowed.contains(size)) {
+            let allowed = allowed.clone();
             return Err(BadSizes::Outside { size, varied, allowed });
         }
-        let mut sizes = if given.is_empty() { entry.sizes.to_vec() } else { given.to_vec() };
+        let mut sizes = if given.is_empty() { own.to_vec() } else { given.to_vec() };
         sizes.sort_unstable();
         sizes.dedup();
         Ok(sizes)
     }
 
-    /// Runs it in this process; nothing for [`Role::All`].
+    /// Runs it in this process; nothing for [`Role::All`] and [`Role::Daemon`].
     pub fn run(self, run: &Run) -> Option<RoleReport> {
         let entry = ROLES.iter().find(|entry| entry.role == self)?;
         Some((entry.run)(run))
