--- a/benchlink/src/host.rs
+++ b/benchlink/src/host.rs
@@ -59,6 +59,7 @@
     };
     Ok(ServerEntry {
         server: ServerId(e.worker),
+        service: ServiceId::default(),
         zone: u16::from(e.campus),
         cell: e.stripe,
         state,
@@ -145,6 +146,7 @@
                 w.i,
                 Event::Request(NewRequest {
                     request: RequestId(w.req),
+                    service: ServiceId::default(),
                     class: usize::from(w.band),
                     plan: usize::from(w.grade),
                     customer: CustomerId(w.key),
@@ -167,7 +169,8 @@
             Record::Closed(c) => (c.i, closed(&c, self.fields(c.i))?),
             Record::Health { i, worker, code, stats, .. } => {
                 let (outcome, load) = (outcome(code)?, report(self.fields(i), &stats));
-                (i, Event::ProbeEnded { server: ServerId(worker), outcome, load })
+                let service = ServiceId::default();
+                (i, Event::ProbeEnded { service, server: ServerId(worker), outcome, load })
             }
         };
         let mut actions = Vec::new();
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -13,6 +13,8 @@
 pub struct Ask<O, C> {
     /// Whom the answer is for.
     pub owner: O,
+    /// The service whose servers may answer it.
+    pub service: ServiceId,
     /// Index of its class.
     pub class: usize,
     /// Index of its customer's plan.
@@ -245,6 +247,7 @@
         });
         self.events.push_back(Event::Request(NewRequest {
             request: RequestId(key.pack()),
+            service: ask.service,
             class: ask.class,
             plan: ask.plan,
             customer: ask.customer,
@@ -330,7 +333,8 @@
 
     /// A probe has ended.
     pub fn probed(&mut self, server: ServerId, outcome: Outcome, load: Option<LoadReport>) {
-        self.events.push_back(Event::ProbeEnded { server, outcome, load });
+        let service = self.fleet.get(server).map_or(ServiceId::default(), |s| s.service());
+        self.events.push_back(Event::ProbeEnded { service, server, outcome, load });
     }
 
     /// A call to the counter has ended.
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,248 @@
+//! One gateway: hands each event to the service that it is for. It decides nothing itself.
+//!
+//! Ordinary path: a request's units go in one add to its customer's count (`Service::on_request`); the total that
+//! comes back is held against the allowance (`Quotas::on_counted`, `Ledger::settle`); what passes goes to the
+//! server of its service that promises most (`Service::decided`, `Service::pick`). Everything else guards that path.
+//!
+//! A [`Service`] is made when its first server or request comes and dropped with its last. Customers' quotas span
+//! services and stand above them. The cost of an event is that of the one service: a service without requests is
+//! never woken, and a change of the list touches the servers that it names.
+
+use crate::alarms::secs;
+use crate::interface::*;
+use crate::quota::{Counted, Quotas, STALL};
+use crate::service::Service;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Discovery is asked again so long after a call that failed.
+const SUBSCRIBE_AGAIN: Duration = Duration::from_secs(1);
+
+/// What stands around a service while it takes an event in; the time is in seconds.
+pub(crate) struct Context<'a> {
+    pub t: f64,
+    pub quotas: &'a mut Quotas,
+    pub out: &'a mut Vec<Action>,
+    /// Requests of which nothing more is to come.
+    pub over: &'a mut Vec<RequestId>,
+}
+
+/// A service and when it is to be woken.
+struct Scheduled {
+    service: Service,
+    due: Option<Duration>,
+}
+
+/// One gateway's decisions. Feed it events, carry out its actions.
+pub struct Gateway {
+    settings: Arc<Settings>,
+    seed: u64,
+    quotas: Quotas,
+    services: BTreeMap<ServiceId, Scheduled>,
+    /// The service of each request of which something is still to come.
+    requests: HashMap<RequestId, ServiceId>,
+    due: BTreeSet<(Duration, ServiceId)>,
+    subscribe_at: Option<Duration>,
+    timer: Option<Duration>,
+    clock: Duration,
+    started: bool,
+    over: Vec<RequestId>,
+}
+
+impl Gateway {
+    /// Checks the settings and starts with no memory.
+    pub fn new(settings: Settings, seed: u64) -> Result<Gateway, SettingsError> {
+        settings.check()?;
+        let settings = Arc::new(settings);
+        Ok(Gateway {
+            quotas: Quotas::new(&settings),
+            settings,
+            seed,
+            services: BTreeMap::new(),
+            requests: HashMap::new(),
+            due: BTreeSet::new(),
+            subscribe_at: None,
+            timer: None,
+            clock: Duration::ZERO,
+            started: false,
+            over: Vec::new(),
+        })
+    }
+
+    /// Services that have servers or requests.
+    pub fn services(&self) -> usize {
+        self.services.len()
+    }
+
+    /// Takes one event and appends what is to be done.
+    pub fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
+        self.advance(now);
+        if !std::mem::replace(&mut self.started, true) && self.settings.discovery == Discovery::Ask {
+            out.push(Action::Subscribe);
+        }
+        self.dispatch(event, out);
+        self.wake_due(out);
+        self.set_timer(out);
+    }
+
+    /// While there are requests the sweep of their services wakes us all the time: a gap is our own stall, and what
+    /// waited through it proves nothing of servers or counter. Guards against mass silence after a stall.
+    fn advance(&mut self, now: Duration) {
+        let before = self.clock;
+        self.clock = before.max(now);
+        if secs(self.clock - before) > STALL && !self.requests.is_empty() {
+            self.quotas.resumed = secs(self.clock);
+        }
+    }
+
+    fn dispatch(&mut self, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Request(request) => self.on_request(request, out),
+            Event::Counted { name, result, elapsed } => self.on_counted(name, result, elapsed, out),
+            Event::AttemptEnded(end) => {
+                self.with_request(end.request, out, |service, cx| service.on_ended(&end, cx));
+            }
+            Event::StreamStarted { request, attempt } => {
+                self.with_request(request, out, |service, cx| service.on_stream(request, attempt, cx));
+            }
+            Event::ClientGone(request) => {
+                self.with_request(request, out, |service, cx| service.close(request, cx));
+            }
+            Event::Servers(update) => self.on_servers(update),
+            Event::ProbeEnded { service, server, outcome, load } => {
+                if let Some(scheduled) = self.services.get_mut(&service) {
+                    scheduled.service.on_probed(server, outcome, load, secs(self.clock));
+                }
+            }
+            Event::Timer(_) => self.timer = None,
+        }
+    }
+
+    fn on_request(&mut self, mut request: NewRequest, out: &mut Vec<Action>) {
+        if self.requests.contains_key(&request.request) {
+            return;
+        }
+        if request.class >= self.settings.classes.len() || request.plan >= self.settings.plans.len() {
+            return out.push(Action::Refuse { request: request.request, retry_in: None });
+        }
+        request.units = if request.units.is_finite() { request.units.max(0.0) } else { 1.0 };
+        self.ensure(request.service);
+        self.requests.insert(request.request, request.service);
+        self.with(request.service, out, |service, cx| service.on_request(&request, cx));
+    }
+
+    fn on_counted(&mut self, name: CountName, result: CountResult, elapsed: Duration, out: &mut Vec<Action>) {
+        let t = secs(self.clock);
+        let undecided = self.quotas.on_counted(name, result, t);
+        self.quotas.counter_heard(result, secs(elapsed), t, out);
+        let Some(Counted { request, room }) = undecided else { return };
+        self.with_request(request, out, |service, cx| match room {
+            Some(room) => service.decided(request, room, true, cx),
+            None => service.decide_alone(request, false, cx),
+        });
+    }
+
+    fn on_servers(&mut self, update: ListUpdate) {
+        match update {
+            ListUpdate::Changes(entries) => entries.iter().for_each(|entry| self.on_change(entry)),
+            ListUpdate::Full(entries) => self.on_whole_list(entries),
+            ListUpdate::Failed => self.subscribe_at = Some(self.clock + SUBSCRIBE_AGAIN),
+        }
+    }
+
+    fn on_change(&mut self, entry: &ServerEntry) {
+        let t = secs(self.clock);
+        self.ensure(entry.service).service.update(entry, t);
+        self.drop_unused(entry.service);
+    }
+
+    fn on_whole_list(&mut self, entries: Vec<ServerEntry>) {
+        let t = secs(self.clock);
+        let mut named: BTreeMap<ServiceId, Vec<ServerEntry>> = BTreeMap::new();
+        for entry in entries {
+            named.entry(entry.service).or_default().push(entry);
+        }
+        for service in named.keys() {
+            self.ensure(*service);
+        }
+        let services: Vec<ServiceId> = self.services.keys().copied().collect();
+        for service in services {
+            let entries = named.get(&service).map_or(&[][..], Vec::as_slice);
+            self.ensure(service).service.replace(entries, t);
+            self.drop_unused(service);
+        }
+    }
+
+    /// The service, made if there is none.
+    fn ensure(&mut self, id: ServiceId) -> &mut Scheduled {
+        let (settings, clock) = (&self.settings, self.clock);
+        let seed = self.seed.wrapping_add(u64::from(id.0));
+        self.services
+            .entry(id)
+            .or_insert_with(|| Scheduled { service: Service::new(settings, seed, secs(clock)), due: None })
+    }
+
+    fn drop_unused(&mut self, id: ServiceId) {
+        let unused = |service: &Service| service.servers.is_empty() && service.requests.is_empty();
+        if self.services.get(&id).is_some_and(|scheduled| unused(&scheduled.service)) {
+            if let Some(due) = self.services.remove(&id).and_then(|scheduled| scheduled.due) {
+                self.due.remove(&(due, id));
+            }
+        }
+    }
+
+    fn with_request(
+        &mut self,
+        request: RequestId,
+        out: &mut Vec<Action>,
+        act: impl FnOnce(&mut Service, &mut Context),
+    ) {
+        if let Some(&service) = self.requests.get(&request) {
+            self.with(service, out, act);
+        }
+    }
+
+    /// Lets a service take something in, and notes what has become of its requests and when it is due next.
+    fn with(&mut self, id: ServiceId, out: &mut Vec<Action>, act: impl FnOnce(&mut Service, &mut Context)) {
+        let Some(scheduled) = self.services.get_mut(&id) else { return };
+        let t = secs(self.clock);
+        act(&mut scheduled.service, &mut Context { t, quotas: &mut self.quotas, out, over: &mut self.over });
+        let due = scheduled.service.alarms.first();
+        if due != scheduled.due {
+            if let Some(before) = std::mem::replace(&mut scheduled.due, due) {
+                self.due.remove(&(before, id));
+            }
+            self.due.extend(due.map(|at| (at, id)));
+        }
+        if !self.over.is_empty() {
+            for request in self.over.drain(..) {
+                self.requests.remove(&request);
+            }
+            self.drop_unused(id);
+        }
+    }
+
+    fn wake_due(&mut self, out: &mut Vec<Action>) {
+        let clock = self.clock;
+        while let Some((_, service)) = self.due.first().copied().filter(|(at, _)| *at <= clock) {
+            self.with(service, out, |service, cx| {
+                while let Some(alarm) = service.alarms.pop(clock) {
+                    service.on_alarm(alarm, cx);
+                }
+            });
+        }
+        if self.subscribe_at.take_if(|at| *at <= clock).is_some() {
+            out.push(Action::Subscribe);
+        }
+    }
+
+    fn set_timer(&mut self, out: &mut Vec<Action>) {
+        let first = self.due.first().map(|(at, _)| *at);
+        let Some(due) = first.into_iter().chain(self.subscribe_at).min() else { return };
+        if self.timer.is_none_or(|at| due < at) {
+            self.timer = Some(due);
+            out.push(Action::SetTimer { after: due.saturating_sub(self.clock), tag: TimerTag(0) });
+        }
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -9,8 +9,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u32);
 
+/// A service: the servers that answer one kind of request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceId(pub u32);
+
 /// One client try, unique for the life of a gateway.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
 /// The customer whose quota a request draws on.
@@ -231,6 +235,8 @@
 pub struct ServerEntry {
     /// The server.
     pub server: ServerId,
+    /// The service that it belongs to.
+    pub service: ServiceId,
     /// Its zone.
     pub zone: u16,
     /// Its cell, a set of servers that share memory of keys.
@@ -302,10 +308,12 @@
 }
 
 /// A request that a client sent.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct NewRequest {
     /// Its id.
     pub request: RequestId,
+    /// The service whose servers may answer it.
+    pub service: ServiceId,
     /// Index of its class.
     pub class: usize,
     /// Index of its customer's plan.
@@ -374,6 +382,8 @@
     Timer(TimerTag),
     /// A probe has ended.
     ProbeEnded {
+        /// The service that the server belongs to.
+        service: ServiceId,
         /// The server.
         server: ServerId,
         /// How it ended.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,11 +23,11 @@
 //! };
 //! let mut gateway = Gateway::new(settings, 7)?;
 //! let mut actions = Vec::new();
-//! let server = ServerEntry { server: ServerId(1), zone: 0, cell: 0, state: ServerState::Ready, weight: 1.0,
-//!     rank: 1, started_at: None };
+//! let server = ServerEntry { server: ServerId(1), service: ServiceId(0), zone: 0, cell: 0,
+//!     state: ServerState::Ready, weight: 1.0, rank: 1, started_at: None };
 //! gateway.handle(ms(0), Event::Servers(ListUpdate::Full(vec![server])), &mut actions);
-//! gateway.handle(ms(1), Event::Request(NewRequest { request: RequestId(1), class: 0, plan: 0,
-//!     customer: CustomerId(9), units: 1.0, spread: 2, time_left: ms(2000), retry: false }), &mut actions);
+//! gateway.handle(ms(1), Event::Request(NewRequest { request: RequestId(1), service: ServiceId(0), class: 0,
+//!     plan: 0, customer: CustomerId(9), units: 1.0, spread: 2, time_left: ms(2000), retry: false }), &mut actions);
 //! // The request waits for its add; the embedder performs the call and tells the total.
 //! let name = actions.iter().find_map(|a| match a { Action::Count { name, .. } => Some(*name), _ => None });
 //! actions.clear();
@@ -39,9 +39,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod alarms;
 mod aperture;
-mod control;
+mod choice;
+mod gateway;
 mod interface;
+mod ledgers;
+mod quota;
+mod service;
 
-pub use control::Gateway;
+pub use gateway::Gateway;
 pub use interface::*;
--- /dev/null
+++ b/src/service.rs
@@ -0,0 +1,518 @@
+//! One service: its requests from their coming to their answer, and its servers by what their answers tell.
+
+use crate::alarms::{dur, secs, Alarms};
+use crate::choice::LOAD_OF_AIM;
+use crate::gateway::Context;
+use crate::interface::*;
+use crate::quota::{Verdict, EPS};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+/// Mean answers of waiting, summed over what is out, until a server counts as silent: for exponential work
+/// a false alarm has a chance of about exp(-9). It then gets a trial so often, with what may be copied.
+const SILENCE: f64 = 9.0;
+const TRIAL_AFTER: f64 = 2.0;
+/// A copy or a move is thought of after so many mean answers, or this share of the aim: later it is late.
+const PATIENCE: f64 = 3.0;
+const PATIENCE_OF_AIM: f64 = 0.45;
+const COPY_LOAD: f64 = 0.4; // Copies of what merely hangs go out under this part of the load bound.
+/// Further attempts earned by each request sent on, and the most saved up: a small part of the load always.
+pub(crate) const RETRY_EARN: f64 = 0.1;
+pub(crate) const RETRY_MOST: f64 = 20.0;
+/// Time constants, seconds: throughput, its peak; answer times (in answers, in seconds where they are few).
+pub(crate) const RATE_TAU: f64 = 0.5;
+pub(crate) const PEAK_TAU: f64 = 6.0;
+const ANSWERS_AVERAGED: f64 = 30.0;
+pub(crate) const LATE_TAU: f64 = 3.0;
+/// A failure that came back at once weighs as this many requests held, fading over these seconds.
+pub(crate) const FAULT_LOAD: f64 = 3.0;
+pub(crate) const FAULT_TAU: f64 = 4.0;
+pub(crate) const FAULT_VISITS: f64 = 2.0;
+/// How much each opening of a connection counts in their mean; from this share refused on, a server that
+/// never answered here is taken to refuse too. One of them is tried again each TRIAL_AFTER.
+const CONNECT_SHARE: f64 = 0.3;
+pub(crate) const MOST_REFUSE: f64 = 0.5;
+/// Load reports are averaged, each counting this much or by the seconds since the last; they fade so too
+/// towards the fleet's mean, and weigh this much of a request held here.
+const REPORT_SHARE: f64 = 0.03;
+pub(crate) const REPORT_TAU: f64 = 5.0;
+pub(crate) const REPORT_WEIGHT: f64 = 0.5;
+/// Least time between probes of a server, and those earned by each request: all gateways probe as they work.
+const PROBE_EVERY: f64 = 1.0;
+const PROBE_EARN: f64 = 0.2;
+const PROBES_BORNE: f64 = 8.0; // A second at each server, of all gateways together.
+pub(crate) const SWEEP_EVERY: f64 = 0.05;
+
+/// A server's circuit breaker: does it take connections from this gateway, by the last attempt at it?
+#[derive(Default, PartialEq)]
+pub(crate) enum Breaker {
+    #[default]
+    Untried,
+    Closed,
+    Open,
+}
+
+#[derive(Default)]
+pub(crate) struct Server {
+    pub zone: u16,
+    pub cell: u16,
+    pub ready: bool,
+    pub weight: f64,
+    pub rank: u64,
+    pub part: f64, // Of it, that lies in this gateway's aperture.
+    pub started: Option<f64>,
+    pub out: BTreeMap<(RequestId, u16), (f64, usize)>, // Attempts out: (request, attempt) to (sent, class).
+    pub heard: f64,
+    pub slowness: f64, // Answer time relative to the fleet's for the same class.
+    pub answers: f64,
+    pub load: f64,
+    pub reported: f64,
+    pub breaker: Breaker,
+    pub faults: f64, // Failures that came back at once, fading.
+    pub fault_at: f64,
+    pub silent: bool,
+    pub retry_at: f64,
+    pub probed: f64,
+    /// Sends within the cold budget's span, newest last, and the span's draw for what is left of one.
+    pub sends: VecDeque<f64>,
+    pub draw: f64,
+    pub drawn: f64,
+}
+
+/// What the answers of a service tell, and the budgets that requests earn for further attempts and probes.
+#[derive(Default)]
+pub(crate) struct Flow {
+    pub rate: f64, // Aims answered a second (each answer counts its class's aim), the remembered peak, and when.
+    pub peak: f64,
+    pub at: f64,
+    pub lateness: f64, // Mean answer time as a share of the aim, and when last told.
+    pub late_at: f64,
+    pub answers: f64,
+    pub retries: f64,
+    pub refusing: f64, // Share of the openings that were refused, and when a refusing server is tried again.
+    pub half_open: f64,
+    pub draw: f64, // The draw for what is left of one in the load bound, and when drawn.
+    pub drawn: f64,
+    pub probes: f64,
+}
+
+pub(crate) struct Attempt {
+    pub server: ServerId,
+    pub sent: f64,
+    pub open: bool,
+    pub harmless: bool, // Its end proves that it never ran.
+}
+
+pub(crate) struct Request {
+    pub asked: NewRequest,
+    pub end: f64,
+    pub waiting: bool, // Waiting for the counter's total.
+    pub done: bool,
+    pub streaming: bool,
+    pub attempts: Vec<Attempt>,
+}
+
+#[derive(Clone, Copy)]
+pub(crate) enum Alarm {
+    Decide(RequestId),
+    Patience(RequestId),
+    End(RequestId),
+    Sweep,
+}
+
+/// One service. Nothing that happens to one of them costs or changes another.
+pub(crate) struct Service {
+    pub settings: Arc<Settings>,
+    pub rng: fastrand::Rng,
+    pub requests: BTreeMap<RequestId, Request>,
+    pub servers: BTreeMap<ServerId, Server>,
+    pub ring_changed: bool,
+    pub means: Vec<f64>, // Mean answer time of each class.
+    pub flow: Flow,
+    pub alarms: Alarms<Alarm>,
+    sweeping: bool,
+}
+
+impl Service {
+    pub fn new(settings: &Arc<Settings>, seed: u64, t: f64) -> Service {
+        // Not quick until answers say so: at the start all gateways would fill the servers at once.
+        let flow =
+            Flow { lateness: LOAD_OF_AIM, late_at: t, at: t, retries: 1.0, probes: 1.0, ..Flow::default() };
+        Service {
+            settings: Arc::clone(settings),
+            rng: fastrand::Rng::with_seed(seed),
+            requests: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            ring_changed: false,
+            // Until answers tell, a class's work is taken as an eighth of its aim.
+            means: settings.classes.iter().map(|c| secs(c.aim) / 8.0).collect(),
+            flow,
+            alarms: Alarms::default(),
+            sweeping: false,
+        }
+    }
+
+    pub fn on_request(&mut self, r: &NewRequest, cx: &mut Context) {
+        let class = &self.settings.classes[r.class];
+        // Answered two rounds before the client gives up. Where a late answer is worth nothing, the end is
+        // the aim: what is still out then only takes room from requests that can make it.
+        let mut end = cx.t + secs(r.time_left) - 2.0 * secs(self.settings.tick);
+        if class.late_worth <= 0.0 && class.aim_stretch <= 0.0 {
+            end = end.min(cx.t + secs(class.aim));
+        }
+        let (end, waiting, done, streaming) = (end.max(cx.t), true, false, false);
+        let request = Request { asked: *r, end, waiting, done, streaming, attempts: Vec::new() };
+        self.requests.insert(r.request, request);
+        self.alarms.set(dur(end), Alarm::End(r.request));
+        self.flow.probes = (self.flow.probes + PROBE_EARN).min(RETRY_MOST);
+        if !self.sweeping {
+            self.sweep(cx);
+        }
+        match cx.quotas.enter(r, &mut self.rng, cx.t, cx.out) {
+            Verdict::Wait(wait) => self.alarms.set(dur(cx.t + wait), Alarm::Decide(r.request)),
+            Verdict::Alone => self.decide_alone(r.request, true, cx),
+            Verdict::TooManyOpen => self.refuse(r.request, cx),
+        }
+    }
+
+    /// Decides without a total. `owed`: no add is out for it.
+    pub fn decide_alone(&mut self, id: RequestId, owed: bool, cx: &mut Context) {
+        let Some(r) = self.requests.get(&id) else { return };
+        let room = cx.quotas.decide_alone(&r.asked, owed, cx.t);
+        self.decided(id, room, false, cx);
+    }
+
+    pub fn decided(&mut self, id: RequestId, room: bool, confirmed: bool, cx: &mut Context) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| r.waiting) else { return };
+        r.waiting = false;
+        let NewRequest { customer, units, class, .. } = r.asked;
+        if r.done {
+            // Ended while it waited: nothing was sent on, so its units go back.
+            if let Some(l) = cx.quotas.ledgers.get_mut(customer).filter(|_| room) {
+                l.carry -= units;
+            }
+            return self.forget(id, cx);
+        }
+        let best = self.pick(id, cx.t);
+        // Drawn once for a few answers: drawn for each try, all gateways would fill up to the next one.
+        if cx.t >= self.flow.drawn + PATIENCE * self.means[class] {
+            (self.flow.draw, self.flow.drawn) = (self.rng.f64(), cx.t);
+        }
+        let overloaded = self.overloaded(class, self.flow.draw, cx.t);
+        let Some(ledger) = cx.quotas.ledgers.get_mut(customer).filter(|_| room) else {
+            return self.refuse(id, cx);
+        };
+        match best {
+            Some(server) if !overloaded => {
+                ledger.grant(units, confirmed);
+                ledger.open += 1;
+                self.flow.retries = (self.flow.retries + RETRY_EARN).min(RETRY_MOST);
+                self.send(id, server, cx);
+            }
+            _ => {
+                ledger.carry -= units;
+                self.refuse(id, cx);
+            }
+        }
+    }
+
+    fn send(&mut self, id: RequestId, server: ServerId, cx: &mut Context) {
+        let (Some(r), Some(s)) = (self.requests.get_mut(&id), self.servers.get_mut(&server)) else { return };
+        let (class, number) = (r.asked.class, r.attempts.len() as u16);
+        r.attempts.push(Attempt { server, sent: cx.t, open: true, harmless: false });
+        if s.out.is_empty() {
+            s.heard = cx.t;
+        }
+        s.out.insert((id, number), (cx.t, class));
+        if s.breaker != Breaker::Closed {
+            self.flow.half_open = cx.t + TRIAL_AFTER;
+        }
+        s.sends.push_back(cx.t);
+        s.retry_at = cx.t + TRIAL_AFTER;
+        cx.out.push(Action::Send { request: id, server, give_up_at: dur(r.end) });
+        let latest = PATIENCE_OF_AIM * secs(self.settings.classes[class].aim);
+        self.alarms.set(dur(cx.t + latest.min(PATIENCE * self.means[class])), Alarm::Patience(id));
+    }
+
+    pub fn on_ended(&mut self, e: &AttemptEnd, cx: &mut Context) {
+        let harmless = matches!(e.outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
+        let Some(r) = self.requests.get_mut(&e.request) else { return };
+        let Some(a) = r.attempts.get_mut(usize::from(e.attempt)).filter(|a| a.open) else { return };
+        (a.open, a.harmless) = (false, harmless);
+        let (server, NewRequest { customer, units, class, .. }) = (a.server, r.asked);
+        self.learn(server, class, e, cx.t, cx.quotas.resumed);
+        self.on_load(server, e.load, cx.t);
+        if let Some(l) = cx.quotas.ledgers.get_mut(customer) {
+            // Guessed units: the difference rides on the customer's next add.
+            let more = e.true_units.filter(|u| u.is_finite()).map_or(0.0, |u| u.max(0.0) - units);
+            (l.level, l.carry) = (l.level - more, l.carry + more);
+        }
+        if e.finished || e.outcome == Outcome::Ok {
+            return self.close(e.request, cx);
+        }
+        self.go_on(e.request, cx);
+        self.forget(e.request, cx);
+    }
+
+    fn go_on(&mut self, id: RequestId, cx: &mut Context) {
+        let idle = |r: &&Request| !r.done && r.attempts.iter().all(|a| !a.open);
+        let Some(r) = self.requests.get(&id).filter(idle) else { return };
+        let harmless = r.attempts.last().is_some_and(|a| a.harmless);
+        let in_time = cx.t + self.means[r.asked.class] < r.end;
+        if in_time && self.flow.retries >= 1.0 {
+            if let Some(server) = self.pick(id, cx.t) {
+                self.flow.retries -= if harmless { 0.5 } else { 1.0 };
+                return self.send(id, server, cx);
+            }
+        }
+        self.refuse(id, cx);
+    }
+
+    pub fn on_stream(&mut self, id: RequestId, attempt: u16, cx: &mut Context) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.done) else { return };
+        r.streaming |= usize::from(attempt) < r.attempts.len();
+        self.cancel_others(id, Some(attempt), cx);
+    }
+
+    fn cancel_others(&mut self, id: RequestId, keep: Option<u16>, cx: &mut Context) {
+        let Some(r) = self.requests.get(&id).filter(|_| self.settings.limits.cancel) else { return };
+        for (n, a) in r.attempts.iter().enumerate() {
+            if a.open && keep != Some(n as u16) {
+                cx.out.push(Action::Cancel { request: id, attempt: n as u16 });
+            }
+        }
+    }
+
+    /// The request is over for the client: nothing more goes out for it.
+    pub fn close(&mut self, id: RequestId, cx: &mut Context) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.done) else { return self.forget(id, cx) };
+        r.done = true;
+        if let Some(l) = cx.quotas.ledgers.get_mut(r.asked.customer).filter(|_| !r.attempts.is_empty()) {
+            l.open = l.open.saturating_sub(1);
+        }
+        self.cancel_others(id, None, cx);
+        self.forget(id, cx);
+    }
+
+    fn forget(&mut self, id: RequestId, cx: &mut Context) {
+        let over = |r: &Request| r.done && !r.waiting && !r.attempts.iter().any(|a| a.open);
+        if self.requests.get(&id).is_some_and(over) {
+            self.requests.remove(&id);
+            cx.over.push(id);
+        }
+    }
+
+    /// Answers finally: refused where rule 2 lets us say so, else failed.
+    fn refuse(&mut self, id: RequestId, cx: &mut Context) {
+        let Some(r) = self.requests.get_mut(&id).filter(|r| !r.done) else { return };
+        let ran = r.attempts.iter().any(|a| !a.harmless);
+        let effect = self.settings.classes[r.asked.class].effect;
+        let may = !ran || matches!(effect, Effect::Safe | Effect::Keyed { group: DedupGroup::All, .. });
+        // Advice: the time in which one such request is refilled, or in which what is out here is answered:
+        // without any, clients of a load refusal come back at once; longer, and their next try is late.
+        let (limits, ledger) = (&self.settings.limits, cx.quotas.ledgers.get(r.asked.customer));
+        let refill = ledger.map_or(0.0, |l| (r.asked.units - l.level).max(0.0) / l.rate.max(EPS));
+        let retry_in = limits
+            .retry_advice
+            .then(|| dur(refill.max(self.means[r.asked.class])).min(limits.max_retry_advice));
+        cx.out.push(if may {
+            Action::Refuse { request: id, retry_in }
+        } else {
+            Action::Fail { request: id }
+        });
+        self.close(id, cx);
+    }
+
+    pub fn on_alarm(&mut self, alarm: Alarm, cx: &mut Context) {
+        match alarm {
+            Alarm::Decide(id) => {
+                if self.requests.get(&id).is_some_and(|r| r.waiting && !r.done) {
+                    self.decide_alone(id, false, cx);
+                }
+            }
+            Alarm::End(id) => match self.requests.get(&id).filter(|r| !r.done && !r.streaming) {
+                Some(r) if r.attempts.is_empty() => self.refuse(id, cx),
+                Some(_) => {
+                    cx.out.push(Action::Fail { request: id });
+                    self.close(id, cx);
+                }
+                None => {}
+            },
+            Alarm::Patience(id) => self.lost_patience(id, cx),
+            Alarm::Sweep => self.sweep(cx),
+        }
+    }
+
+    /// Guards against silent servers and against single answers that hang: a second copy where the class
+    /// and the budget allow; where copies are forbidden, a move away from a server that looks silent.
+    fn lost_patience(&mut self, id: RequestId, cx: &mut Context) {
+        self.watch(cx);
+        let Some(r) = self.requests.get(&id).filter(|r| !r.done && !r.streaming) else { return };
+        let Some(last) = r.attempts.last().filter(|a| a.open) else { return };
+        let silent = self.ejects() && self.servers.get(&last.server).is_none_or(|s| s.silent || !s.ready);
+        let class = r.asked.class;
+        if cx.t + self.means[class] >= r.end {
+            return;
+        }
+        let busy = self.flow.lateness > COPY_LOAD * LOAD_OF_AIM || self.overloaded(class, 1.0, cx.t);
+        let may = self.flow.retries >= 1.0 && (silent || !busy);
+        let limits = &self.settings.limits;
+        let movable = silent && limits.cancel && self.repeatable(r, 4.0, cx.t);
+        if may && limits.duplicates && r.attempts.iter().filter(|a| a.open).count() < 2 {
+            if let Some(server) = self.pick(id, cx.t) {
+                self.flow.retries -= 1.0;
+                return self.send(id, server, cx);
+            }
+        } else if may && !limits.duplicates && movable {
+            return cx.out.push(Action::Cancel { request: id, attempt: r.attempts.len() as u16 - 1 });
+        }
+        self.alarms.set(dur(cx.t + self.means[class]), Alarm::Patience(id));
+    }
+
+    /// Takes in how an attempt at a server ended; the gateway's own last stall ended at `resumed`.
+    fn learn(&mut self, server: ServerId, class: usize, e: &AttemptEnd, t: f64, resumed: f64) {
+        let eject = self.ejects();
+        // Most ends are answers, which weigh no fault: they need no walk over the servers.
+        let fault_tau = if e.outcome == Outcome::Ok { FAULT_TAU } else { self.fault_tau() };
+        let Some(s) = self.servers.get_mut(&server) else { return };
+        let (outcome, took) = (e.outcome, secs(e.elapsed));
+        s.out.remove(&(e.request, e.attempt));
+        // Guards against servers that take no new connections, from all of us or from some, and against dead
+        // ones still listed. Who comes by once in many seconds must remember until an attempt gets through.
+        // Harm: after a short refusal by all, one server is taken back at a time, until trials succeed.
+        let refused = outcome == Outcome::ConnectFailed;
+        if refused || !matches!(outcome, Outcome::Reset | Outcome::Cancelled | Outcome::Moot) {
+            if s.breaker == Breaker::Untried || (s.breaker == Breaker::Open && !refused) {
+                self.flow.refusing += (f64::from(u8::from(refused)) - self.flow.refusing) * CONNECT_SHARE;
+                // One that takes us calls for the next trial at once.
+                self.flow.half_open = if refused { self.flow.half_open } else { t };
+            }
+            s.breaker = if refused { Breaker::Open } else { Breaker::Closed };
+        }
+        if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full) {
+            (s.heard, s.silent) = (t, false);
+        }
+        // Guards against servers that fail fast: they hold little and would draw everything. By time-outs,
+        // with no answer since, against jammed, slow and hung ones, where one request waits at a time and is
+        // never silence. Harm: a server with a few chance errors or long tasks gets less for some seconds.
+        let lost = outcome == Outcome::Timeout && s.heard <= t - took && t - took >= resumed;
+        if lost || matches!(outcome, Outcome::Error | Outcome::Full | Outcome::ConnectFailed | Outcome::Reset)
+        {
+            (s.faults, s.fault_at) = (s.faults * ((s.fault_at - t) / fault_tau).exp() + 1.0, t);
+        }
+        let aim = secs(self.settings.classes[class].aim);
+        let stalled = t - took < resumed;
+        if matches!(outcome, Outcome::Ok | Outcome::Timeout) && !(s.silent && eject) && !stalled {
+            let dt = t - self.flow.late_at;
+            let weight = (1.0 - (-dt / LATE_TAU).exp()).clamp(1.0 / ANSWERS_AVERAGED, 0.25);
+            self.flow.late_at = t;
+            self.flow.lateness += (took / aim - self.flow.lateness) * weight;
+        }
+        if outcome == Outcome::Ok {
+            if !stalled {
+                let (classes, mean) = (self.means.len() as f64, &mut self.means[class]);
+                // The first answers weigh more: servers are judged by it, and would be by when they answered.
+                *mean += (took - *mean) / (1.0 + self.flow.answers / classes).min(ANSWERS_AVERAGED);
+                (*mean, self.flow.answers) = (mean.max(1e-3), self.flow.answers + 1.0);
+                let ratio = (took / mean.max(EPS)).min(4.0);
+                s.answers = (s.answers + 1.0).min(4.0 * ANSWERS_AVERAGED - 8.0);
+                s.slowness = (s.slowness + (ratio - s.slowness) / (8.0 + s.answers)).clamp(0.5, 2.0);
+            }
+            let dt = t - self.flow.at;
+            self.flow.rate = self.flow.rate * (-dt / RATE_TAU).exp() + 1.0 / RATE_TAU;
+            self.flow.peak = (self.flow.peak * (-dt / PEAK_TAU).exp()).max(self.flow.rate);
+            self.flow.at = t;
+        }
+    }
+
+    fn on_load(&mut self, server: ServerId, load: Option<LoadReport>, t: f64) {
+        let (Some(s), Some(load)) = (self.servers.get_mut(&server), load) else { return };
+        let good = |v: Option<f64>| v.filter(|v| v.is_finite()).map(|v| v.max(0.0));
+        let held = good(load.in_flight).or(good(load.queued)).unwrap_or(0.0);
+        // Single reports are stale: gateways that follow them run from server to server together. Their mean
+        // tells a server that is slow or short of cores for all of us. Where they come seldom each counts.
+        let weight = (1.0 - ((s.reported - t) / REPORT_TAU).exp()).max(REPORT_SHARE);
+        s.reported = t;
+        s.load += (held - s.load) * weight;
+    }
+
+    pub fn on_probed(&mut self, server: ServerId, outcome: Outcome, load: Option<LoadReport>, t: f64) {
+        self.on_load(server, load, t);
+        if let Some(s) = self.servers.get_mut(&server).filter(|_| outcome == Outcome::Ok) {
+            (s.heard, s.silent) = (t, false);
+        }
+    }
+
+    /// Marks servers silent: what is out there has waited for many mean answers together and none has come.
+    fn watch(&mut self, cx: &mut Context) {
+        for (id, s) in self.servers.iter_mut().filter(|(_, s)| s.ready && !s.silent) {
+            let since = s.heard.max(cx.quotas.resumed);
+            let wait = |(sent, class): &(f64, usize)| (cx.t - sent.max(since)) / self.means[*class].max(EPS);
+            if s.out.values().map(wait).sum::<f64>() > SILENCE {
+                (s.silent, s.retry_at) = (true, cx.t + TRIAL_AFTER);
+                cx.out.push(Action::Log(format!("server {} silent", id.0)));
+            }
+        }
+    }
+
+    /// What time brings on, while there are requests: silent servers, sends that count no more, probes.
+    fn sweep(&mut self, cx: &mut Context) {
+        self.watch(cx);
+        let (t, span) = (cx.t, self.span());
+        for s in self.servers.values_mut() {
+            if t >= s.drawn + span {
+                (s.draw, s.drawn) = (self.rng.f64(), t);
+            }
+            while s.sends.front().is_some_and(|at| *at < t - span) {
+                s.sends.pop_front();
+            }
+        }
+        let any = self.settings.reports_on_probe;
+        let every = PROBE_EVERY.max(f64::from(self.settings.gateways) / PROBES_BORNE);
+        let wanted = |s: &Server| s.ready && (s.silent || any) && t >= s.probed + every;
+        while self.settings.limits.probes && self.flow.probes >= 1.0 {
+            let oldest = self.servers.iter_mut().filter(|(_, s)| wanted(s));
+            let Some((&id, s)) = oldest.min_by(|a, b| a.1.probed.total_cmp(&b.1.probed)) else { break };
+            s.probed = t;
+            self.flow.probes -= 1.0;
+            cx.out.push(Action::Probe { server: id });
+        }
+        self.drop_gone();
+        self.sweeping = !self.requests.is_empty();
+        if self.sweeping {
+            self.alarms.set(dur(t + SWEEP_EVERY), Alarm::Sweep);
+        }
+    }
+
+    fn drop_gone(&mut self) {
+        self.servers.retain(|_, s| s.ready || !s.out.is_empty());
+    }
+
+    /// A whole list has come: what it does not name is gone.
+    pub fn replace(&mut self, entries: &[ServerEntry], t: f64) {
+        self.servers.values_mut().for_each(|s| s.ready = false);
+        entries.iter().for_each(|e| self.update(e, t));
+        if !self.sweeping {
+            self.drop_gone();
+        }
+    }
+
+    /// Rule 3 by construction: from the moment it is told, nothing new goes to a draining or gone server.
+    pub fn update(&mut self, e: &ServerEntry, t: f64) {
+        let started = e.started_at.map(secs);
+        let draw = self.rng.f64();
+        // Each gateway probes in an order of its own: else all would know, and take, the same few.
+        let new = || Server { started, draw, probed: -draw, heard: t, slowness: 1.0, ..Server::default() };
+        let s = self.servers.entry(e.server).or_insert_with(new);
+        if s.started != started {
+            (s.started, s.silent, s.slowness, s.heard) = (started, false, 1.0, t);
+            s.breaker = Breaker::Untried;
+        }
+        (s.zone, s.cell, s.rank, s.ready) = (e.zone, e.cell, e.rank, e.state == ServerState::Ready);
+        s.weight = if e.weight.is_finite() && e.weight > 0.0 { e.weight.max(0.05) } else { 1.0 };
+        if !s.ready && !self.sweeping {
+            self.servers.remove(&e.server);
+        }
+        self.ring_changed = true;
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -78,6 +78,7 @@
 pub fn entry(id: u32, state: ServerState, started_at: Option<Duration>) -> ServerEntry {
     ServerEntry {
         server: ServerId(id),
+        service: ServiceId(0),
         zone: 0,
         cell: (id % 2) as u16,
         state,
@@ -329,6 +330,7 @@
         };
         self.requests.insert((g, id), track);
         let event = NewRequest {
+            service: ServiceId(0),
             request: RequestId(id),
             class,
             plan,
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -47,7 +47,10 @@
         1 => Event::ClientGone(RequestId(u64::MAX)),
         2 => Event::Counted { name: CountName(5), result: CountResult::Total(nan), elapsed: ms(1) },
         3 => Event::Timer(TimerTag(12345)),
-        4 => Event::ProbeEnded { server: ServerId(88), outcome: Outcome::Ok, load: None },
+        4 => {
+            let (service, server) = (ServiceId(0), ServerId(88));
+            Event::ProbeEnded { service, server, outcome: Outcome::Ok, load: None }
+        }
         _ => Event::StreamStarted { request: RequestId(u64::MAX), attempt: 3 },
     };
     w.tell(g, event);
