--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -1,6 +1,7 @@
 //! Requests and the module: events go in, outputs come out.
 
-use crate::fleet::{Change, Fleet};
+use crate::directory::{Directory, DirectoryChange, DirectoryError};
+use crate::fleet::{Change, Fleet, Reading};
 use crate::list::List;
 use crate::slots::{Key, Slots};
 use roseyard::*;
@@ -165,6 +166,7 @@
     held: usize,
     bounds: Bounds,
     fleet: Fleet,
+    directory: Directory,
     due: Option<Duration>,
     stopped: bool,
 }
@@ -185,6 +187,7 @@
             held: 0,
             bounds,
             fleet: Fleet::default(),
+            directory: Directory::single(),
             due: None,
             stopped: false,
         })
@@ -333,7 +336,7 @@
 
     /// A probe has ended.
     pub fn probed(&mut self, server: ServerId, outcome: Outcome, load: Option<LoadReport>) {
-        let service = self.fleet.get(server).map_or(ServiceId::default(), |s| s.service());
+        let Some(service) = self.fleet.get(server).and_then(|s| s.service()) else { return };
         self.events.push_back(Event::ProbeEnded { service, server, outcome, load });
     }
 
@@ -351,11 +354,39 @@
         zones: &[String],
         started: impl Fn(f64) -> Option<Duration>,
     ) -> (Vec<ServerId>, usize) {
-        let Change { update, stale, bad } = self.fleet.apply(list, zones, started);
+        let reading = Reading { zones, directory: &self.directory, started };
+        let Change { update, stale, bad } = self.fleet.apply(list, &reading);
         self.events.push_back(Event::Servers(update));
         (stale, bad)
     }
 
+    /// Services with their routes and servers. Until one is set, one service holds everything.
+    pub fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
+    /// Another directory is in force from now on. Services keep their ids, and what is known of them, by their names;
+    /// only servers that have moved to another service are told to the module. Returns the number of changes.
+    pub fn set_directory(&mut self, directory: &Directory) -> Result<usize, DirectoryError> {
+        let changes = self.directory.difference(directory);
+        let count = changes.len();
+        for change in changes {
+            self.change_directory(change)?;
+        }
+        Ok(count)
+    }
+
+    /// Changes the directory, at the cost of the change: requests that are out stay with the service and server that
+    /// they have. An error changes nothing.
+    pub fn change_directory(&mut self, change: DirectoryChange) -> Result<(), DirectoryError> {
+        let effect = self.directory.apply(change)?;
+        let entries = self.fleet.reassign(&effect, &self.directory);
+        if !entries.is_empty() {
+            self.events.push_back(Event::Servers(ListUpdate::Changes(entries)));
+        }
+        Ok(())
+    }
+
     /// The time that [`Engine::due`] told has come.
     pub fn on_due(&mut self) {
         if self.due.take().is_some() {
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -27,7 +27,7 @@
     SINGLE_SERVICE,
 };
 pub use engine::{Answer, Ask, Bounds, End, Engine, Full, Output};
-pub use fleet::{Fleet, Server};
+pub use fleet::{Change, Fleet, Reading, Server};
 pub use links::{Links, Rested};
 pub use list::{List, Target};
 pub use slots::{Key, Slots};
--- a/engine/tests/model.rs
+++ b/engine/tests/model.rs
@@ -138,6 +138,7 @@
     fn submit(&mut self, class: usize) {
         let id = self.accounts.len() as u64;
         let ask = Ask {
+            service: ServiceId(0),
             owner: id,
             class,
             plan: 0,
@@ -293,6 +294,7 @@
 
     fn submit_refused(&mut self) {
         let ask = Ask {
+            service: ServiceId(0),
             owner: 1 << 40,
             class: SAFE,
             plan: 0,
--- a/ingress/src/routing/front.rs
+++ b/ingress/src/routing/front.rs
@@ -786,6 +786,7 @@
     }
     let command = Held::new(words, &r);
     let ask = Ask {
+        service: roseyard::ServiceId::default(),
         bytes: command.len(),
         owner,
         class,
