--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -61,7 +61,8 @@
     /// With '--role daemon': an earlier version of it, measured in turn with the other.
     #[arg(long)]
     daemon_before: Option<PathBuf>,
-    /// With '--role daemon': divide the servers into services too, 3,200 of them at full size.
+    /// Divide the servers into services, 3,200 of them at full size; with the roles decision, list, quotas and events.
+    /// With '--role daemon': measure that too. '--role all' plays both.
     #[arg(long)]
     services: bool,
     /// With '--role daemon': play 1 and 95,000 tenants too, at the greatest size.
@@ -168,12 +169,15 @@
         seconds: args.seconds,
         seed: args.seed,
         repeats: usize::from(args.repeats),
+        services: args.services,
         progress: scale::on_terminal(),
     };
     let reports = match args.role.run(&run) {
         Some(report) => vec![report],
         None if args.role == Role::Daemon => scale::daemon::run(&daemon_options(args, &run)?)?,
-        None => Role::each().map(|role| run_apart(args, role)).collect::<io::Result<_>>()?,
+        None => {
+            all_shapes().map(|(role, services)| run_apart(args, role, services)).collect::<io::Result<_>>()?
+        }
     };
     let json = serde_json::json!({"seed": run.seed, "seconds": run.seconds, "roles": reports});
     match args.json.as_deref().map(|path| (path, path.as_os_str() == "-")) {
@@ -202,13 +206,21 @@
     })
 }
 
+/// All roles, and those again whose servers may be divided into services.
+fn all_shapes() -> impl Iterator<Item = (Role, bool)> {
+    Role::each()
+        .flat_map(|role| [(role, false), (role, true)])
+        .filter(|(role, services)| !services || scale::BY_SERVICE.contains(role))
+}
+
 /// Runs a role in a process of its own: what one has held says nothing of the memory of the next.
-fn run_apart(args: &ScaleArgs, role: Role) -> io::Result<RoleReport> {
+fn run_apart(args: &ScaleArgs, role: Role, services: bool) -> io::Result<RoleReport> {
     let (seconds, seed, repeats) =
         (args.seconds.to_string(), args.seed.to_string(), args.repeats.to_string());
     let output = std::process::Command::new(std::env::current_exe()?)
         .args(["scale", "--role", &role.word(), "--json", "-"])
         .args(["--seconds", &seconds, "--seed", &seed, "--repeats", &repeats])
+        .args(services.then_some("--services"))
         .stderr(std::process::Stdio::inherit())
         .output()?;
     if !output.status.success() {
--- a/lab/src/scale/counter.rs
+++ b/lab/src/scale/counter.rs
@@ -1,9 +1,11 @@
 //! What the shared counter is asked by all ingresses together.
 
 use super::hollow::{Hollow, Load, Traffic, World};
+use super::listing::Listing;
 use super::measure::{resident_bytes, timed};
 use super::report::{Figure, RoleReport};
-use super::{listing, targets, Run};
+use super::{targets, Run};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Servers of the one service that the ingresses carry here: the choice among them is another role.
@@ -22,12 +24,13 @@
     let mut cost = Figure::measured("processor time of all ingresses", "cores");
     let mut memory = Figure::measured("memory of an ingress", "KiB");
     let load = Load { rate: targets::REQUESTS_PER_INGRESS, tenants: targets::TENANTS };
-    let line = listing::whole(SERVERS);
+    let listing = Arc::new(Listing::single(SERVERS));
+    let line = listing.whole();
     for &size in &run.sizes {
         run.progress(&format!("counter: {size} ingresses"));
         let mut world = World::new(run.seed);
         let before = resident_bytes();
-        let mut fleet: Vec<Hollow> = (0..size).map(|n| Hollow::new(size, n, run.seed)).collect();
+        let mut fleet: Vec<Hollow> = (0..size).map(|n| Hollow::new(&listing, size, n, run.seed)).collect();
         fleet.iter_mut().for_each(|hollow| hollow.take_line(&line, &mut world));
         let mut now = WARM_UP;
         let go_on = |fleet: &mut Vec<Hollow>, until, world: &mut World| {
--- a/lab/src/scale/daemon.rs
+++ b/lab/src/scale/daemon.rs
@@ -1,7 +1,7 @@
 //! The real daemon at size: one process on loopback among stand-ins, with up to 54,000 servers at addresses of their
 //! own, one version beside another. Cost is processor time by the scheduler's account.
 
-mod layout;
+pub(super) mod layout;
 mod load;
 mod meter;
 mod platform;
--- a/lab/src/scale/daemon/layout.rs
+++ b/lab/src/scale/daemon/layout.rs
@@ -32,6 +32,14 @@
         self.servers.div_ceil(NETWORK_SERVERS)
     }
 
+    /// Its networks, as the operator's file words them.
+    pub fn network_names(&self) -> impl Iterator<Item = String> + '_ {
+        (0..self.networks()).map(|network| {
+            let first = FIRST_NETWORK + (self.first_network + network) * NETWORK_SIZE;
+            format!("{}/24", Ipv4Addr::from(first))
+        })
+    }
+
     /// Where its servers listen.
     pub fn addresses(&self) -> impl Iterator<Item = Ipv4Addr> + '_ {
         (0..self.servers).map(|n| {
@@ -144,9 +152,8 @@
         text.push_str("services {\n    route-field \"route\"\n");
         for (n, service) in self.services.iter().enumerate() {
             let _ = write!(text, "    service \"s{n}\" {{ servers");
-            for network in 0..service.networks() {
-                let at = Ipv4Addr::from(FIRST_NETWORK + (service.first_network + network) * NETWORK_SIZE);
-                let _ = write!(text, " \"{at}/24\"");
+            for network in service.network_names() {
+                let _ = write!(text, " \"{network}\"");
             }
             text.push_str(" }\n");
         }
--- a/lab/src/scale/decision.rs
+++ b/lab/src/scale/decision.rs
@@ -1,9 +1,11 @@
 //! What the choice of a server costs, by the servers to choose from.
 
 use super::hollow::{Hollow, Load, World};
+use super::listing::Listing;
 use super::measure::{resident_bytes, timed};
 use super::report::{Figure, RoleReport};
-use super::{listing, targets, Run};
+use super::{targets, Run};
+use std::sync::Arc;
 use std::time::Duration;
 
 const TENANTS: usize = 1_000;
@@ -24,8 +26,9 @@
         run.progress(&format!("decision: {size} servers"));
         let mut world = World::new(run.seed);
         let before = resident_bytes();
-        let mut hollow = Hollow::new(targets::INGRESSES, 0, run.seed);
-        let list = roseyard_ingress::protocol::list::decode(&mut listing::whole(size));
+        let listing = Arc::new(Listing::new(size, run.services));
+        let mut hollow = Hollow::new(&listing, targets::INGRESSES, 0, run.seed);
+        let list = roseyard_ingress::protocol::list::decode(&mut listing.whole());
         hollow.take_list(&list.expect("a list of the lab's own"), &mut world);
         let sample = samples(run, &mut hollow, &mut world);
         memory.push(size, &[resident_bytes().saturating_sub(before) as f64 / f64::from(1 << 20)]);
@@ -36,7 +39,7 @@
         held.push(hollow);
     }
     let figures = vec![request, rest, busy, memory];
-    run.report("decision", "servers", figures, Vec::new())
+    run.report("decision", "servers", figures, vec![run.shape()])
 }
 
 /// Seconds of processor time: for a second at rest, and for a request beyond that.
--- a/lab/src/scale/discovery.rs
+++ b/lab/src/scale/discovery.rs
@@ -1,10 +1,11 @@
 //! What discovery sends to all ingresses together while servers are restarted.
 
 use super::hollow::{Hollow, World};
-use super::listing::{self, Entry, State};
+use super::listing::{Entry, Listing, State};
 use super::measure::timed;
 use super::report::{Figure, RoleReport};
 use super::{targets, Run};
+use std::sync::Arc;
 
 /// Servers that each ingress holds here: what one change costs by the servers held is the list's role.
 const SERVERS: usize = 170;
@@ -26,15 +27,16 @@
     let mut each = Figure::reckoned("bytes of an ingress at 6,000 restarts a day", "bytes/s");
     let mut relay = Figure::reckoned("bytes of each of 9 relays at 6,000 restarts a day", "bytes/s");
     let mut watches = Figure::reckoned("watches that each of 9 relays holds", "connections");
-    let line = listing::whole(SERVERS);
+    let listing = Arc::new(Listing::single(SERVERS));
+    let line = listing.whole();
     for &size in &run.sizes {
         run.progress(&format!("discovery: {size} ingresses"));
         let mut world = World::new(run.seed);
-        let mut fleet: Vec<Hollow> = (0..size).map(|n| Hollow::new(size, n, run.seed)).collect();
+        let mut fleet: Vec<Hollow> = (0..size).map(|n| Hollow::new(&listing, size, n, run.seed)).collect();
         fleet.iter_mut().for_each(|hollow| hollow.take_line(&line, &mut world));
         let (mut bytes, mut costs) = (Vec::new(), Vec::new());
         for restart in 0..RESTARTS {
-            let lines = restart_lines(restart);
+            let lines = restart_lines(&listing, restart);
             let sent: usize = lines.iter().map(|line| line.len() + 1 + CHUNK_BYTES).sum();
             let told = |hollow: &mut Hollow| lines.iter().for_each(|line| hollow.take_line(line, &mut world));
             let (_, took) = timed(|| fleet.iter_mut().for_each(told));
@@ -61,11 +63,11 @@
 }
 
 /// The lines that tell of the restart of one server.
-fn restart_lines(restart: usize) -> Vec<Vec<u8>> {
+fn restart_lines(listing: &Listing, restart: usize) -> Vec<Vec<u8>> {
     let line = |(step, state): (usize, &State)| {
         let generation = u32::from(*state == State::Serving);
         let entry = Entry { generation, state: *state, ..Entry::serving(restart) };
-        listing::encode(2 + (restart * CHANGES.len() + step) as u64, false, &[entry])
+        listing.encode(2 + (restart * CHANGES.len() + step) as u64, false, &[entry])
     };
     CHANGES.iter().enumerate().map(line).collect()
 }
--- a/lab/src/scale/events.rs
+++ b/lab/src/scale/events.rs
@@ -1,14 +1,15 @@
 //! Failures and restarts at size, played on hollow ingresses.
 
 use super::hollow::{Hollow, Load, Split, Traffic, World, UNIX_MS};
-use super::listing::{self, Entry, State};
+use super::listing::{Entry, Listing, State};
 use super::measure::timed;
 use super::report::{Figure, RoleReport};
 use super::{list, targets, Run};
+use std::sync::Arc;
 use std::time::Duration;
 
-/// Servers and ingresses that a zone holds.
-const ZONE_SERVERS: usize = 4_150;
+/// Zones, over which servers are spread in turn: one holds some 4,150.
+const ZONES: usize = 13;
 /// Servers of a rack.
 const RACK_SERVERS: usize = 40;
 /// A service of the mean size, which has a server in the rack.
@@ -37,11 +38,11 @@
     zone_in_whole_list(run, first, &mut figures);
     control(&run.sizes, &mut figures);
     let notes = vec![
+        run.shape(),
         format!("a restart and a zone's changes: one ingress that holds all {} servers", targets::SERVERS),
         format!("a rack: services of {SERVICE}, one server of which is in it; nobody is told for 10 s"),
         format!("regions: a service of {SPLIT_SERVICE}, half of its servers out of reach, for 30 s"),
-        "a zone: as many servers an ingress as in the plan, one service; 7.7% of both go and return cold"
-            .into(),
+        "a zone: as many servers an ingress as in the plan; 7.7% of both go and return cold".into(),
         "membership in the same events is measured with its role".into(),
     ];
     run.report("events", "ingresses", figures, notes)
@@ -60,10 +61,11 @@
 
 /// One ingress starts with nothing, and is told the whole list.
 fn restart(run: &Run, size: usize, figures: &mut Vec<Figure>) {
-    let line = listing::whole(targets::SERVERS);
+    let listing = Arc::new(Listing::new(targets::SERVERS, run.services));
+    let line = listing.whole();
     let mut world = World::new(run.seed);
     let (mut hollow, took) = timed(|| {
-        let mut hollow = Hollow::new(targets::INGRESSES, 0, run.seed);
+        let mut hollow = Hollow::new(&listing, targets::INGRESSES, 0, run.seed);
         hollow.take_line(&line, &mut world);
         hollow
     });
@@ -80,10 +82,11 @@
     100.0 * (traffic.refused + traffic.failed) as f64 / ended.max(1) as f64
 }
 
-fn fleet(ingresses: usize, run: &Run, line: &[u8], world: &mut World) -> Vec<Hollow> {
+fn fleet(ingresses: usize, run: &Run, listing: &Arc<Listing>, world: &mut World) -> Vec<Hollow> {
+    let line = listing.whole();
     let one = |number| {
-        let mut hollow = Hollow::new(ingresses, number, run.seed);
-        hollow.take_line(line, world);
+        let mut hollow = Hollow::new(listing, ingresses, number, run.seed);
+        hollow.take_line(&line, world);
         hollow
     };
     (0..ingresses).map(one).collect()
@@ -105,7 +108,8 @@
 /// One server in each of many services dies without a word.
 fn rack(run: &Run, ingresses: usize, figures: &mut Vec<Figure>) {
     let mut world = World::new(run.seed);
-    let mut fleet = fleet(ingresses, run, &listing::whole(SERVICE), &mut world);
+    let listing = Arc::new(Listing::single(SERVICE));
+    let mut fleet = fleet(ingresses, run, &listing, &mut world);
     let load = service_load();
     go_on(&mut fleet, Duration::from_secs(60), load, &mut world);
     world.down.insert(0);
@@ -114,7 +118,8 @@
     one(figures, "rack: attempts at dead servers until it is told", "% of attempts", ingresses, share);
     one(figures, "rack: requests of its services refused until it is told", "%", ingresses, refused(&blind));
     let deleted = |server| Entry { state: State::Deleted, ..Entry::serving(server) };
-    let told = listing::encode(2, false, &(0..RACK_SERVERS).map(deleted).collect::<Vec<_>>());
+    let rack = Listing::single(RACK_SERVERS);
+    let told = rack.encode(2, false, &(0..RACK_SERVERS).map(deleted).collect::<Vec<_>>());
     one(figures, "rack: bytes of the change at each ingress", "bytes", ingresses, told.len() as f64 + 1.0);
 }
 
@@ -127,7 +132,8 @@
 /// Half of a service's servers cannot be reached from half of the ingresses, nor the others from the others.
 fn regions(run: &Run, ingresses: usize, figures: &mut Vec<Figure>) {
     let mut world = World::new(run.seed);
-    let mut fleet = fleet(ingresses, run, &listing::whole(SPLIT_SERVICE), &mut world);
+    let listing = Arc::new(Listing::single(SPLIT_SERVICE));
+    let mut fleet = fleet(ingresses, run, &listing, &mut world);
     // A service that is asked often enough that each ingress learns.
     let load = Load { rate: 4.0, tenants: targets::TENANTS };
     go_on(&mut fleet, Duration::from_secs(20), load, &mut world);
@@ -144,30 +150,38 @@
     one(figures, "regions: requests refused, 5 s after they met", "%", ingresses, refused(&met));
 }
 
+/// The servers of one zone among so many.
+fn zone_servers(servers: usize) -> impl Iterator<Item = usize> {
+    (0..servers).step_by(ZONES)
+}
+
 /// A zone's ingresses and servers go and return cold.
 fn zone(run: &Run, ingresses: usize, figures: &mut Vec<Figure>) {
     let servers = ingresses * targets::SERVERS / targets::INGRESSES;
-    let zone = (servers * ZONE_SERVERS / targets::SERVERS).max(1);
     let mut world = World::new(run.seed);
-    let mut fleet = fleet(ingresses, run, &listing::whole(servers), &mut world);
+    let listing = Arc::new(Listing::new(servers, run.services));
+    let mut fleet = fleet(ingresses, run, &listing, &mut world);
     let load = Load { rate: targets::REQUESTS_PER_INGRESS, tenants: targets::TENANTS };
     go_on(&mut fleet, Duration::from_secs(4), load, &mut world);
     let deleted = |server| Entry { state: State::Deleted, ..Entry::serving(server) };
-    let gone = listing::encode(2, false, &(0..zone).map(deleted).collect::<Vec<_>>());
+    let gone = listing.encode(2, false, &zone_servers(servers).map(deleted).collect::<Vec<_>>());
     fleet.iter_mut().for_each(|hollow| hollow.take_line(&gone, &mut world));
     let without = go_on(&mut fleet, Duration::from_secs(8), load, &mut world);
     let back = Duration::from_secs(8);
     let started_ms = UNIX_MS + back.as_millis() as u64;
     let cold = |server| Entry { generation: 1, started_ms, ..Entry::serving(server) };
-    let told = listing::encode(3, false, &(0..zone).map(cold).collect::<Vec<_>>());
+    let told = listing.encode(3, false, &zone_servers(servers).map(cold).collect::<Vec<_>>());
     fleet.iter_mut().for_each(|hollow| hollow.take_line(&told, &mut world));
     world.arrivals = Some(Vec::new());
     let with = go_on(&mut fleet, back + TIP_AFTER, load, &mut world);
     let mut sends = vec![0usize; servers];
     world.arrivals.take().unwrap_or_default().iter().for_each(|arrival| sends[arrival.server] += 1);
-    let warm = sends[zone..].iter().sum::<usize>() as f64 / (servers - zone).max(1) as f64;
-    let mean = sends[..zone].iter().sum::<usize>() as f64 / zone as f64;
-    let most = sends[..zone].iter().max().copied().unwrap_or(0) as f64;
+    let cold: Vec<usize> = zone_servers(servers).map(|server| sends[server]).collect();
+    let all: usize = sends.iter().sum();
+    let cold_sum: usize = cold.iter().sum();
+    let warm = (all - cold_sum) as f64 / (servers - cold.len()).max(1) as f64;
+    let mean = cold_sum as f64 / cold.len() as f64;
+    let most = cold.iter().max().copied().unwrap_or(0) as f64;
     one(figures, "zone: requests refused while it is gone", "%", ingresses, refused(&without));
     one(figures, "zone: requests refused in the 3 s after its return", "%", ingresses, refused(&with));
     one(
@@ -188,13 +202,15 @@
 
 /// The changes that tell of a zone, at an ingress that holds all servers.
 fn zone_in_whole_list(run: &Run, size: usize, figures: &mut Vec<Figure>) {
+    let listing = Arc::new(Listing::new(targets::SERVERS, run.services));
     let mut world = World::new(run.seed);
-    let mut hollow = Hollow::new(targets::INGRESSES, 0, run.seed);
-    hollow.take_line(&listing::whole(targets::SERVERS), &mut world);
+    let mut hollow = Hollow::new(&listing, targets::INGRESSES, 0, run.seed);
+    hollow.take_line(&listing.whole(), &mut world);
     for (revision, state, what) in [(2, State::Deleted, "goes"), (3, State::Serving, "returns")] {
         let generation = u32::from(state == State::Serving);
         let entry = |server| Entry { generation, state, ..Entry::serving(server) };
-        let line = listing::encode(revision, false, &(0..ZONE_SERVERS).map(entry).collect::<Vec<_>>());
+        let line =
+            listing.encode(revision, false, &zone_servers(targets::SERVERS).map(entry).collect::<Vec<_>>());
         let (_, took) = timed(|| hollow.take_line(&line, &mut world));
         one(
             figures,
@@ -213,7 +229,7 @@
     let longest_wait = list::limits().list_again_most;
     // Calls are spread over half of the wait at random.
     let calls = targets::INGRESSES as f64 / longest_wait.mul_f64(0.75).as_secs_f64();
-    let whole = (listing::whole(targets::SERVERS).len() + 1) as f64 * targets::INGRESSES as f64;
+    let whole = (Listing::single(targets::SERVERS).whole().len() + 1) as f64 * targets::INGRESSES as f64;
     let mut again = Figure::reckoned("control restarts: watches opened again by 4,300 ingresses", "calls/s");
     let mut bytes = Figure::reckoned("control restarts: whole lists to 4,300 ingresses", "bytes");
     sizes.iter().for_each(|&size| again.push(size, &[calls]));
--- a/lab/src/scale/hollow.rs
+++ b/lab/src/scale/hollow.rs
@@ -1,13 +1,14 @@
 //! A hollow ingress: the real engine with its decision module and its list, and the real codecs, without sockets and
 //! in virtual time. What would go over a socket is encoded and counted.
 
-use super::listing;
+use super::listing::Listing;
 use crate::site;
 use roseyard::{CountName, CountResult, CustomerId, Outcome, ServerId, Settings};
 use roseyard_engine::{Answer, Ask, Bounds, End, Engine, Key, Output};
 use roseyard_ingress::protocol::{http, list};
 use roseyard_settings::Options;
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 const COUNTER: &str = "127.0.0.1:6400";
@@ -157,6 +158,7 @@
     pub engine: Engine<(), (), ()>,
     /// What has gone in and out.
     pub traffic: Traffic,
+    listing: Arc<Listing>,
     number: usize,
     spread: u32,
     now: Duration,
@@ -168,21 +170,22 @@
 }
 
 impl Hollow {
-    /// Number `number` of so many ingresses.
-    pub fn new(ingresses: usize, number: usize, seed: u64) -> Hollow {
-        let settings = options(ingresses, number).settings().expect("the lab's settings are whole");
-        Hollow::with(settings, number, seed)
-    }
-
-    /// One under these settings.
-    pub fn with(settings: Settings, number: usize, seed: u64) -> Hollow {
+    /// Number `number` of so many ingresses, which knows the services and has heard of no server yet.
+    pub fn new(listing: &Arc<Listing>, ingresses: usize, number: usize, seed: u64) -> Hollow {
+        let settings: Settings = options(ingresses, number).settings().expect("the lab's settings are whole");
         let bounds = Bounds { requests: 200_000, bytes: 64 << 20 };
         let seed = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(number as u64);
+        let spread = settings.gateways;
+        let mut engine = Engine::new(settings, seed, bounds).expect("the lab's settings can be served");
+        if let Some(directory) = listing.directory() {
+            engine.set_directory(&directory).expect("the lab's own directory is sound");
+        }
         Hollow {
-            spread: settings.gateways,
-            engine: Engine::new(settings, seed, bounds).expect("the lab's settings can be served"),
+            engine,
             traffic: Traffic::default(),
+            listing: Arc::clone(listing),
             number,
+            spread,
             now: Duration::ZERO,
             pending: BTreeMap::new(),
             serial: 0,
@@ -218,9 +221,15 @@
         self.carry_out(world);
     }
 
-    /// One request of a tenant comes.
+    /// One request of a tenant comes, for the service of a server drawn from all.
     pub fn request(&mut self, tenant: u64, world: &mut World) {
+        let route = self.listing.route_to(self.rng.usize(0..self.listing.servers()));
+        let Some(service) = self.engine.directory().service_of_route(route) else {
+            self.traffic.refused += 1;
+            return;
+        };
         let ask = Ask {
+            service,
             owner: (),
             class: 0,
             plan: 0,
@@ -308,7 +317,7 @@
 
     fn arrive(&mut self, server: ServerId, world: &mut World) -> (Duration, Outcome) {
         let Some(address) = self.engine.address(server) else { return (REFUSED_AFTER, Outcome::Moot) };
-        let server = listing::server_at(address);
+        let server = self.listing.server_at(address);
         world.attempt(Arrival { at: self.now, ingress: self.number, server })
     }
 
--- a/lab/src/scale/listing.rs
+++ b/lab/src/scale/listing.rs
@@ -1,10 +1,17 @@
-//! Lists of servers as discovery words them, each server at an address of its own.
+//! Lists of servers as discovery words them, each server at an address of its own, and the services that they are
+//! divided into.
 
+use super::daemon::layout::Layout;
 use super::targets;
+use roseyard_engine::{Directory, DirectoryBounds, DirectoryChange, ServerSelector};
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 
 const PORT: u16 = 7000;
 const ZONES: usize = 13;
+/// Servers of the largest service at least, where there are several: it has its multiple of the mean at any size.
+const LEAST_LARGEST: usize = 34;
+const BOUNDS: DirectoryBounds = DirectoryBounds { services: 4_096, routes: 16_384 };
 
 /// State of a server in a list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,67 +44,124 @@
     }
 }
 
-/// Where a server listens.
-pub fn address(server: usize) -> SocketAddr {
-    (Ipv4Addr::from_bits(0x7f01_0000 + server as u32), PORT).into()
+/// All servers, where they listen, and the service that each belongs to.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    layout: Layout,
+    addresses: Vec<Ipv4Addr>,
+    service_of: Vec<usize>,
+    /// The server at each address, by the address's number.
+    server_at: Vec<usize>,
+    /// A route that names each service.
+    routes: Vec<String>,
 }
 
-/// Which server listens at an address.
-pub fn server_at(address: SocketAddr) -> usize {
-    let SocketAddr::V4(at) = address else { return usize::MAX };
-    (at.ip().to_bits() - 0x7f01_0000) as usize
-}
+impl Listing {
+    /// So many servers: all in one service, or in services as the plan has them, in proportion.
+    pub fn new(servers: usize, by_service: bool) -> Listing {
+        if by_service {
+            Listing::by_service(servers)
+        } else {
+            Listing::of(Layout::unnamed(servers as u32))
+        }
+    }
 
-/// One line of a watch, without its end.
-pub fn encode(revision: u64, whole: bool, entries: &[Entry]) -> Vec<u8> {
-    let targets: Vec<String> = entries.iter().map(target).collect();
-    format!(r#"{{"rev":{revision},"all":{whole},"targets":[{}]}}"#, targets.join(",")).into_bytes()
-}
+    /// So many servers in one service.
+    pub fn single(servers: usize) -> Listing {
+        Listing::new(servers, false)
+    }
 
-/// The whole list of so many servers.
-pub fn whole(servers: usize) -> Vec<u8> {
-    encode(1, true, &(0..servers).map(Entry::serving).collect::<Vec<_>>())
-}
+    fn by_service(servers: usize) -> Listing {
+        let services = (servers * targets::SERVICES / targets::SERVERS).max(1);
+        let routes = (servers * targets::ROUTES / targets::SERVERS).max(services);
+        let largest = (servers * targets::LARGEST_SERVICE / targets::SERVERS).max(LEAST_LARGEST).min(servers);
+        Listing::of(Layout::long_tail(servers as u32, services as u32, largest as u32, routes as u32))
+    }
 
-fn target(entry: &Entry) -> String {
-    let state = match entry.state {
-        State::Serving => "SERVING",
-        State::Draining => "DRAINING",
-        State::Deleted => "DELETED",
-    };
-    let Entry { server, generation, started_ms, .. } = entry;
-    let (zone, pod, at) = (server % ZONES, server % 1_000, address(*server));
-    format!(
-        r#"{{"uid":"fs-{server:05}-{generation}","endpoint":"{at}","az":"zone-{zone:02}","model":"std","pod_group":{pod},"state":"{state}","capacity_hint":1.0,"boot_ms":{started_ms}}}"#
-    )
-}
+    fn of(layout: Layout) -> Listing {
+        let in_service = |(number, service): (usize, &super::daemon::layout::Service)| {
+            service.addresses().map(move |address| (number, address)).collect::<Vec<_>>()
+        };
+        let placed: Vec<_> = layout.services.iter().enumerate().flat_map(in_service).collect();
+        let mut server_at = vec![usize::MAX; layout.slots()];
+        for (server, (_, address)) in placed.iter().enumerate() {
+            if let Some(slot) = Layout::slot(*address) {
+                server_at[slot] = server;
+            }
+        }
+        let (service_of, addresses) = placed.into_iter().unzip();
+        let routes = (0..layout.services.len()).map(|service| format!("form-route-{service:05}")).collect();
+        Listing { layout, addresses, service_of, server_at, routes }
+    }
 
-/// Sizes of so many services that hold so many servers together: the size falls with the rank by a power law, the
-/// largest has what the plan says of it or its even multiple, and none is empty.
-pub fn service_sizes(services: usize, servers: usize) -> Vec<usize> {
-    if services <= 1 {
-        return vec![servers];
+    /// Servers in all.
+    pub fn servers(&self) -> usize {
+        self.addresses.len()
     }
-    let largest = (targets::LARGEST_SERVICE * servers / targets::SERVERS).clamp(1, servers);
-    // The exponent that makes the sizes come to all the servers, found by halving.
-    let sizes = |exponent: f64| -> Vec<usize> {
-        let of_rank = |rank: usize| largest as f64 / (rank as f64).powf(exponent);
-        (1..=services).map(|rank| (of_rank(rank) as usize).max(1)).collect()
-    };
-    let (mut flat, mut steep) = (0.0, 8.0);
-    for _ in 0..60 {
-        let middle = (flat + steep) / 2.0;
-        if sizes(middle).iter().sum::<usize>() > servers {
-            flat = middle;
-        } else {
-            steep = middle;
+
+    /// Servers of each service, the largest first.
+    pub fn service_sizes(&self) -> Vec<usize> {
+        self.layout.services.iter().map(|service| service.servers as usize).collect()
+    }
+
+    /// Which server listens at an address.
+    pub fn server_at(&self, address: SocketAddr) -> usize {
+        let SocketAddr::V4(at) = address else { return usize::MAX };
+        Layout::slot(*at.ip()).and_then(|slot| self.server_at.get(slot).copied()).unwrap_or(usize::MAX)
+    }
+
+    /// A route whose service has this server.
+    pub fn route_to(&self, server: usize) -> &str {
+        &self.routes[self.service_of[server]]
+    }
+
+    /// Services with their routes and networks; none where all servers are of one service without a name.
+    pub fn directory(&self) -> Option<Directory> {
+        if !self.layout.named {
+            return None;
+        }
+        let mut directory = Directory::new(BOUNDS);
+        let mut apply = |change| {
+            directory.apply(change).expect("the lab's own directory is sound");
+        };
+        let names: Vec<Arc<str>> =
+            (0..self.layout.services.len()).map(|n| format!("service-{n:04}").into()).collect();
+        for (name, service) in names.iter().zip(&self.layout.services) {
+            apply(DirectoryChange::AddService { name: Arc::clone(name) });
+            for network in service.network_names() {
+                let network = network.parse().expect("a network of the layout");
+                let (servers, service) = (ServerSelector::network(network), Arc::clone(name));
+                apply(DirectoryChange::Assign { servers, service });
+            }
         }
+        for route in 0..self.layout.routes as usize {
+            let service = Arc::clone(&names[route % names.len()]);
+            apply(DirectoryChange::SetRoute { route: format!("form-route-{route:05}").into(), service });
+        }
+        Some(directory)
+    }
+
+    /// One line of a watch, without its end.
+    pub fn encode(&self, revision: u64, whole: bool, entries: &[Entry]) -> Vec<u8> {
+        let targets: Vec<String> = entries.iter().map(|entry| self.target(entry)).collect();
+        format!(r#"{{"rev":{revision},"all":{whole},"targets":[{}]}}"#, targets.join(",")).into_bytes()
     }
-    let mut sizes = sizes(steep);
-    let missing = servers.saturating_sub(sizes.iter().sum());
-    // What rounding has left over goes to the smallest, one each.
-    for n in 0..missing {
-        sizes[services - 1 - n % services] += 1;
+
+    /// The whole list.
+    pub fn whole(&self) -> Vec<u8> {
+        self.encode(1, true, &(0..self.servers()).map(Entry::serving).collect::<Vec<_>>())
+    }
+
+    fn target(&self, entry: &Entry) -> String {
+        let state = match entry.state {
+            State::Serving => "SERVING",
+            State::Draining => "DRAINING",
+            State::Deleted => "DELETED",
+        };
+        let Entry { server, generation, started_ms, .. } = entry;
+        let (zone, pod, at) = (server % ZONES, server % 1_000, self.addresses[*server]);
+        format!(
+            r#"{{"uid":"fs-{server:05}-{generation}","endpoint":"{at}:{PORT}","az":"zone-{zone:02}","model":"std","pod_group":{pod},"state":"{state}","capacity_hint":1.0,"boot_ms":{started_ms}}}"#
+        )
     }
-    sizes
 }
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -146,6 +146,8 @@
     pub seed: u64,
     /// Samples at each size.
     pub repeats: usize,
+    /// Are the servers divided into services, as many in proportion as the plan has?
+    pub services: bool,
     /// Is progress told on the terminal?
     pub progress: bool,
 }
@@ -157,8 +159,21 @@
         }
     }
 
+    /// How the servers are divided into services, for the notes of a report.
+    fn shape(&self) -> String {
+        if self.services {
+            let (services, servers) = (targets::SERVICES, targets::SERVERS);
+            format!(
+                "servers in services by a power law: {services} for {servers} servers, fewer in proportion"
+            )
+        } else {
+            "all servers in one service".into()
+        }
+    }
+
     fn report(&self, role: &str, varied: &str, figures: Vec<Figure>, notes: Vec<String>) -> RoleReport {
-        let (role, varied, resident_bytes) = (role.into(), varied.into(), measure::resident_bytes());
+        let role = if self.services { format!("{role} by service") } else { role.into() };
+        let (varied, resident_bytes) = (varied.into(), measure::resident_bytes());
         RoleReport { role, varied, figures, notes, resident_bytes }
     }
 }
@@ -179,6 +194,9 @@
     AllRoles,
 }
 
+/// The roles whose servers may be divided into services.
+pub const BY_SERVICE: &[Role] = &[Role::Decision, Role::List, Role::Quotas, Role::Events];
+
 impl std::error::Error for BadSizes {}
 
 impl std::fmt::Display for BadSizes {
--- a/lab/src/scale/quotas.rs
+++ b/lab/src/scale/quotas.rs
@@ -1,9 +1,11 @@
 //! What tenants' quotas cost an ingress: memory, processor time and calls to the counter.
 
 use super::hollow::{Hollow, Load, Traffic, World};
+use super::listing::Listing;
 use super::measure::{resident_bytes, timed};
 use super::report::{Figure, RoleReport};
-use super::{listing, targets, Run};
+use super::{targets, Run};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Few servers, so that the choice among them weighs little.
@@ -24,8 +26,10 @@
     for &size in &run.sizes {
         run.progress(&format!("quotas: {size} tenants"));
         let mut world = World::new(run.seed);
-        let mut hollow = Hollow::new(targets::INGRESSES, 0, run.seed);
-        hollow.take_line(&listing::whole(SERVERS), &mut world);
+        let servers = if run.services { targets::SERVERS } else { SERVERS };
+        let listing = Arc::new(Listing::new(servers, run.services));
+        let mut hollow = Hollow::new(&listing, targets::INGRESSES, 0, run.seed);
+        hollow.take_line(&listing.whole(), &mut world);
         let before = resident_bytes();
         for tenant in 0..size {
             let at = FILL.mul_f64((tenant + 1) as f64 / size as f64);
@@ -60,5 +64,5 @@
     }
     let figures = vec![request, rest, memory, calls, out, back, rate];
     let note = "bytes are those of the calls and answers alone, without TCP's and IP's".to_owned();
-    run.report("quotas", "tenants", figures, vec![note])
+    run.report("quotas", "tenants", figures, vec![run.shape(), note])
 }
--- a/lab/src/scale/servers.rs
+++ b/lab/src/scale/servers.rs
@@ -1,9 +1,11 @@
 //! What the form servers of one service bear of all ingresses: connections and probes.
 
 use super::hollow::{Arrival, Hollow, Load, World};
+use super::listing::Listing;
 use super::report::{Figure, RoleReport};
-use super::{listing, targets, Run};
+use super::{targets, Run};
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A service of the mean size.
@@ -26,12 +28,13 @@
     // Of its requests each service gets an even share.
     let load =
         Load { rate: targets::REQUESTS_PER_INGRESS / targets::SERVICES as f64, tenants: targets::TENANTS };
-    let line = listing::whole(SERVERS);
+    let listing = Arc::new(Listing::single(SERVERS));
+    let line = listing.whole();
     for &size in &run.sizes {
         run.progress(&format!("servers: {size} ingresses"));
         let mut world = World::new(run.seed);
         world.arrivals = Some(Vec::new());
-        let mut fleet: Vec<Hollow> = (0..size).map(|n| Hollow::new(size, n, run.seed)).collect();
+        let mut fleet: Vec<Hollow> = (0..size).map(|n| Hollow::new(&listing, size, n, run.seed)).collect();
         fleet.iter_mut().for_each(|hollow| hollow.take_line(&line, &mut world));
         let mut now = Duration::ZERO;
         while now < WARM_UP + LENGTH {
