--- a/lab/src/scale/daemon.rs
+++ b/lab/src/scale/daemon.rs
@@ -2,7 +2,7 @@
 //! own, one version beside another. Cost is processor time by the scheduler's account.
 
 pub mod faults;
-mod layout;
+pub(super) mod layout;
 mod load;
 mod meter;
 mod platform;
