--- /dev/null
+++ b/ingress/tests/scale.rs
@@ -0,0 +1,50 @@
+//! The real daemon at two sizes, and under faults of one service: a small form of `roseyard-lab scale`.
+
+use roseyard_lab::scale::daemon::faults::Fault;
+use roseyard_lab::scale::daemon::{self, Options};
+use roseyard_lab::scale::Run;
+
+/// A request may cost so many times as much with 200 times the servers in 200 times the services.
+const GROWTH: f64 = 2.0;
+const SMALL: usize = 17;
+const LARGE: usize = 200 * SMALL;
+
+fn options(sizes: &[usize], seconds: u64, repeats: usize) -> Options {
+    Options {
+        daemon: env!("CARGO_BIN_EXE_roseyard").into(),
+        before: None,
+        services: true,
+        all_tenants: false,
+        counter: true,
+        probes: true,
+        rate: 256.0,
+        spread: 1,
+        run: Run { sizes: sizes.to_vec(), seconds, seed: 11, repeats, progress: false },
+    }
+}
+
+#[test]
+fn a_request_costs_the_same_however_many_services_there_are() {
+    let reports = daemon::run(&options(&[SMALL, LARGE], 3, 3)).unwrap();
+    let divided = reports.iter().find(|report| report.role.contains("in the mean")).unwrap();
+    let figure = divided.figure("processor time of a request").unwrap();
+    let (small, large) = (figure.at(SMALL).unwrap(), figure.at(LARGE).unwrap());
+    assert!(large <= GROWTH * small, "{small:.0} us with {SMALL} servers, {large:.0} us with {LARGE}");
+    let refused = divided.figure("refused").unwrap();
+    assert!(refused.points.iter().all(|point| point.high == 0.0), "{refused:?}");
+}
+
+#[test]
+fn a_service_without_servers_costs_the_others_no_request() {
+    for fault in [Fault::ServersDie, Fault::ServersDrain, Fault::ComesBackCold] {
+        let findings = fault.play(&options(&[], 1, 2)).unwrap();
+        let broken: Vec<_> = findings.iter().filter(|f| !f.kept && !f.timed).collect();
+        assert!(broken.is_empty(), "{broken:#?}");
+    }
+}
+
+#[test]
+fn routes_that_move_lose_no_request_and_repeat_none() {
+    let findings = Fault::RoutesMove.play(&options(&[], 1, 1)).unwrap();
+    assert!(findings.iter().all(|finding| finding.kept), "{findings:#?}");
+}
