--- a/lab/src/scale/daemon.rs
+++ b/lab/src/scale/daemon.rs
@@ -45,7 +45,7 @@
 const SETTLE: Duration = Duration::from_millis(500);
 /// Changes of one server that discovery tells, and between two of them.
 const CHANGES: u32 = 300;
-const CHANGE_EVERY: Duration = Duration::from_millis(10);
+const CHANGE_EVERY: Duration = Duration::from_millis(5);
 
 /// The measured load draws other times and tenants than the one before it.
 const LATER_SEED: u64 = 1_000;
@@ -287,7 +287,7 @@
     let rest = process.busy(REST)?;
     sample.rest_after_percent = 100.0 * rest;
     loaded.tell(rest, &mut sample);
-    sample.change_us = changes(&layout, &platform, &process)?;
+    sample.change_us = changes(&layout, &platform, &process, rest)?;
     sample.resident_mib = mib(process.daemon.rss_kib()?);
     sample.all_tenants_mib = f64::NAN;
     if case.tenants == ALL_TENANTS && !case.before {
@@ -356,8 +356,7 @@
 }
 
 /// Processor time, in microseconds, of a change that discovery tells: one server comes, or goes again.
-fn changes(layout: &Layout, platform: &Platform, process: &Process) -> io::Result<f64> {
-    let rest = process.busy(REST)?;
+fn changes(layout: &Layout, platform: &Platform, process: &Process, rest: f64) -> io::Result<f64> {
     let (began, used) = (Instant::now(), process.daemon.scheduled()?);
     for n in 0..CHANGES {
         let state = if n.is_multiple_of(2) { "SERVING" } else { "DELETED" };
--- a/lab/src/scale/daemon/faults.rs
+++ b/lab/src/scale/daemon/faults.rs
@@ -183,6 +183,11 @@
         self.runtimes.clients.spawn(async move { load.play_noted(at, length, Some(&ledger)).await })
     }
 
+    /// Plays a load for a stretch beside what follows; what becomes of it is of no interest.
+    fn play_beside(&self, options: &Options, load: &Load) {
+        drop(self.play(load, self.stretch(options)));
+    }
+
     fn wait(&self, playing: JoinHandle<Outcome>) -> Outcome {
         // A load that panicked shows as one without requests.
         self.runtimes.clients.block_on(playing).unwrap_or_default()
@@ -288,11 +293,12 @@
 
 fn servers_die(options: &Options) -> io::Result<Vec<Finding>> {
     let stage = Stage::start(options)?;
-    let mut playing = None;
     let compared = stage.compare(options, |on| {
         let behaviour = if on { Behaviour::Dead } else { Behaviour::Serving };
         stage.platform.servers.set(stage.victim_service().addresses(), behaviour);
-        playing = on.then(|| stage.play(&stage.victim, stage.stretch(options)));
+        if on {
+            stage.play_beside(options, &stage.victim);
+        }
     });
     Ok(compared.findings(Fault::ServersDie))
 }
@@ -300,13 +306,13 @@
 fn servers_drain(options: &Options) -> io::Result<Vec<Finding>> {
     let fault = Fault::ServersDrain;
     let stage = Stage::start(options)?;
-    let (mut late, mut mark, mut playing) = (0, 0, None);
+    let (mut late, mut mark) = (0, 0);
     let compared = stage.compare(options, |on| {
         if on {
             stage.tell_victim("DRAINING", |_| 0.0);
             std::thread::sleep(DRAIN_GRACE);
             mark = stage.events().len();
-            playing = Some(stage.play(&stage.victim, stage.stretch(options)));
+            stage.play_beside(options, &stage.victim);
         } else {
             late += stage.sent_to_victim(mark).values().sum::<u64>();
             stage.tell_victim("SERVING", |_| 0.0);
@@ -359,9 +365,10 @@
 fn flood(options: &Options) -> io::Result<Vec<Finding>> {
     let stage = Stage::start(options)?;
     let flood = stage.victim.with_rate(FLOOD_RATE);
-    let mut playing = None;
     let compared = stage.compare(options, |on| {
-        playing = on.then(|| stage.play(&flood, stage.stretch(options)));
+        if on {
+            stage.play_beside(options, &flood);
+        }
     });
     Ok(compared.findings(Fault::Flood))
 }
