--- a/lab/src/scale/servers.rs
+++ b/lab/src/scale/servers.rs
@@ -23,6 +23,7 @@
     let mut new = Figure::measured("connections opened at a server", "connections/s");
     let mut shared = Figure::measured("requests on a connection that was open", "% of requests");
     let mut probes = Figure::measured("probes at a server", "probes/s");
+    let mut refused = Figure::measured("requests refused", "%");
     let mut links =
         Figure::reckoned("connections open at an ingress with 3,200 such services", "connections");
     // Of its requests each service gets an even share.
@@ -47,6 +48,11 @@
         most.push(size, &[seen.open.iter().max().copied().unwrap_or(0) as f64]);
         new.push(size, &[seen.opened as f64 / SERVERS as f64 / LENGTH.as_secs_f64()]);
         shared.push(size, &[100.0 * (1.0 - seen.opened as f64 / seen.requests.max(1) as f64)]);
+        let (turned, asked) = fleet.iter().fold((0, 0), |(turned, asked), hollow| {
+            let traffic = hollow.traffic;
+            (turned + traffic.refused, asked + traffic.refused + traffic.served + traffic.failed)
+        });
+        refused.push(size, &[100.0 * turned as f64 / asked.max(1) as f64]);
         let probed: u64 = fleet.iter().map(|hollow| hollow.traffic.probes).sum();
         probes.push(size, &[probed as f64 / SERVERS as f64 / now.as_secs_f64()]);
         let every = per_server * SERVERS as f64 / size as f64 * targets::SERVICES as f64;
@@ -56,7 +62,7 @@
         "traffic of an ingress is even over 3,200 services, and each service's goes through every ingress"
             .into(),
     ];
-    run.report("servers", "ingresses", vec![open, most, new, shared, links, probes], notes)
+    run.report("servers", "ingresses", vec![open, most, new, shared, links, probes, refused], notes)
 }
 
 /// What came within the measured time.
