--- a/lab/src/scale/counter.rs
+++ b/lab/src/scale/counter.rs
@@ -1,6 +1,6 @@
 //! What the shared counter is asked by all ingresses together.
 
-use super::hollow::{Hollow, Load, Traffic, World};
+use super::hollow::{Demand, Hollow, Load, Traffic, World};
 use super::listing::Listing;
 use super::measure::{resident_bytes, timed};
 use super::report::{Figure, RoleReport};
@@ -23,7 +23,8 @@
     let mut each = Figure::measured("bytes of an ingress, to and from", "bytes/s");
     let mut cost = Figure::measured("processor time of all ingresses", "cores");
     let mut memory = Figure::measured("memory of an ingress", "KiB");
-    let load = Load { rate: targets::REQUESTS_PER_INGRESS, tenants: targets::TENANTS };
+    let load =
+        Load { rate: targets::REQUESTS_PER_INGRESS, tenants: targets::TENANTS, demand: Demand::ByServers };
     let listing = Arc::new(Listing::single(SERVERS));
     let line = listing.whole();
     for &size in &run.sizes {
--- a/lab/src/scale/decision.rs
+++ b/lab/src/scale/decision.rs
@@ -1,6 +1,6 @@
 //! What the choice of a server costs, by the servers to choose from.
 
-use super::hollow::{Hollow, Load, Traffic, World};
+use super::hollow::{Demand, Hollow, Load, Traffic, World};
 use super::listing::Listing;
 use super::measure::{resident_bytes, timed};
 use super::report::{Figure, RoleReport};
@@ -18,6 +18,7 @@
 /// Plays one ingress at each number of servers.
 pub fn run(run: &Run) -> RoleReport {
     let mut request = Figure::measured("processor time a request", "us");
+    let mut even = Figure::measured("processor time a request, services asked alike", "us");
     let mut rest = Figure::measured("processor time at rest", "% of a core");
     let mut busy = Figure::reckoned("processor time at 256 requests a second", "% of a core");
     let mut refused = Figure::measured("requests refused", "%");
@@ -31,16 +32,21 @@
         let mut hollow = Hollow::new(&listing, targets::INGRESSES, 0, run.seed);
         let list = roseyard_ingress::protocol::list::decode(&mut listing.whole());
         hollow.take_list(&list.expect("a list of the lab's own"), &mut world);
-        let sample = samples(run, &mut hollow, &mut world);
+        let sample = samples(run, &mut hollow, Demand::ByServers, &mut world);
         memory.push(size, &[resident_bytes().saturating_sub(before) as f64 / f64::from(1 << 20)]);
         request.push(size, &sample.iter().map(|s| s.request * 1e6).collect::<Vec<_>>());
+        if run.services {
+            let alike = samples(run, &mut hollow, Demand::Even, &mut world);
+            even.push(size, &alike.iter().map(|s| s.request * 1e6).collect::<Vec<_>>());
+        }
         rest.push(size, &sample.iter().map(|s| s.rest * 100.0).collect::<Vec<_>>());
         refused.push(size, &sample.iter().map(|s| s.refused * 100.0).collect::<Vec<_>>());
         let share = |s: &Sample| (s.request * targets::REQUESTS_PER_INGRESS + s.rest) * 100.0;
         busy.push(size, &sample.iter().map(share).collect::<Vec<_>>());
         held.push(hollow);
     }
-    let figures = vec![request, rest, busy, refused, memory];
+    let figures = [request, even, rest, busy, refused, memory];
+    let figures = figures.into_iter().filter(|figure| !figure.points.is_empty()).collect();
     run.report("decision", "servers", figures, vec![run.shape()])
 }
 
@@ -51,8 +57,8 @@
     refused: f64,
 }
 
-fn samples(run: &Run, hollow: &mut Hollow, world: &mut World) -> Vec<Sample> {
-    let load = Load { rate: targets::REQUESTS_PER_INGRESS, tenants: TENANTS };
+fn samples(run: &Run, hollow: &mut Hollow, demand: Demand, world: &mut World) -> Vec<Sample> {
+    let load = Load { rate: targets::REQUESTS_PER_INGRESS, tenants: TENANTS, demand };
     let seconds = Duration::from_secs(run.seconds);
     let (_, mut spent) = timed(|| hollow.run(hollow.now() + WARM_UP, Some(load), world));
     let mut samples = Vec::new();
--- a/lab/src/scale/events.rs
+++ b/lab/src/scale/events.rs
@@ -1,6 +1,6 @@
 //! Failures and restarts at size, played on hollow ingresses.
 
-use super::hollow::{Hollow, Load, Split, Traffic, World, UNIX_MS};
+use super::hollow::{Demand, Hollow, Load, Split, Traffic, World, UNIX_MS};
 use super::listing::{Entry, Listing, State};
 use super::measure::timed;
 use super::report::{Figure, RoleReport};
@@ -70,7 +70,8 @@
         hollow.take_line(&line, &mut world);
         hollow
     });
-    let load = Load { rate: targets::REQUESTS_PER_INGRESS, tenants: targets::TENANTS };
+    let load =
+        Load { rate: targets::REQUESTS_PER_INGRESS, tenants: targets::TENANTS, demand: Demand::ByServers };
     hollow.run(Duration::from_secs(1), Some(load), &mut world);
     let first = hollow.traffic;
     one(figures, "restart: bytes of the list", "bytes", size, line.len() as f64 + 1.0);
@@ -127,7 +128,7 @@
 /// An even share of an ingress's requests, for one service.
 fn service_load() -> Load {
     let rate = targets::REQUESTS_PER_INGRESS / targets::SERVICES as f64;
-    Load { rate, tenants: targets::TENANTS }
+    Load { rate, tenants: targets::TENANTS, demand: Demand::ByServers }
 }
 
 /// Half of a service's servers cannot be reached from half of the ingresses, nor the others from the others.
@@ -136,7 +137,7 @@
     let listing = Arc::new(Listing::single(SPLIT_SERVICE));
     let mut fleet = fleet(ingresses, run, &listing, &mut world);
     // A service that is asked often enough that each ingress learns.
-    let load = Load { rate: 4.0, tenants: targets::TENANTS };
+    let load = Load { rate: 4.0, tenants: targets::TENANTS, demand: Demand::ByServers };
     go_on(&mut fleet, Duration::from_secs(20), load, &mut world);
     world.split = Some(Split { ingresses: ingresses / 2, servers: SPLIT_SERVICE / 2 });
     let first = go_on(&mut fleet, Duration::from_secs(25), load, &mut world);
@@ -162,7 +163,8 @@
     let mut world = World::new(run.seed);
     let listing = Arc::new(Listing::new(servers, run.services));
     let mut fleet = fleet(ingresses, run, &listing, &mut world);
-    let load = Load { rate: targets::REQUESTS_PER_INGRESS, tenants: targets::TENANTS };
+    let load =
+        Load { rate: targets::REQUESTS_PER_INGRESS, tenants: targets::TENANTS, demand: Demand::ByServers };
     go_on(&mut fleet, Duration::from_secs(4), load, &mut world);
     let deleted = |server| Entry { state: State::Deleted, ..Entry::serving(server) };
     let gone = listing.encode(2, false, &zone_servers(servers).map(deleted).collect::<Vec<_>>());
--- a/lab/src/scale/hollow.rs
+++ b/lab/src/scale/hollow.rs
@@ -137,6 +137,15 @@
     Duration::from_secs_f64(-mean * (1.0 - rng.f64()).ln())
 }
 
+/// Which service a request is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Demand {
+    /// A service is asked the more the more servers it has.
+    ByServers,
+    /// All services are asked alike.
+    Even,
+}
+
 /// What clients ask of one ingress.
 #[derive(Clone, Copy, Debug)]
 pub struct Load {
@@ -144,6 +153,8 @@
     pub rate: f64,
     /// Tenants that they come from, evenly.
     pub tenants: usize,
+    /// Which services they are for.
+    pub demand: Demand,
 }
 
 enum Pending {
@@ -221,9 +232,12 @@
         self.carry_out(world);
     }
 
-    /// One request of a tenant comes, for the service of a server drawn from all.
-    pub fn request(&mut self, tenant: u64, world: &mut World) {
-        let route = self.listing.route_to(self.rng.usize(0..self.listing.servers()));
+    /// One request of a tenant comes.
+    pub fn request(&mut self, tenant: u64, demand: Demand, world: &mut World) {
+        let route = match demand {
+            Demand::ByServers => self.listing.route_to(self.rng.usize(0..self.listing.servers())),
+            Demand::Even => self.listing.route(self.rng.usize(0..self.listing.services())),
+        };
         let Some(service) = self.engine.directory().service_of_route(route) else {
             self.traffic.refused += 1;
             return;
@@ -269,7 +283,7 @@
             if let Some(load) = load.filter(|_| request.is_some_and(|at| at <= self.now)) {
                 self.next_request = None;
                 let tenant = self.rng.usize(0..load.tenants) as u64;
-                self.request(tenant, world);
+                self.request(tenant, load.demand, world);
             }
         }
         self.now = until;
--- a/lab/src/scale/listing.rs
+++ b/lab/src/scale/listing.rs
@@ -110,9 +110,19 @@
         Layout::slot(*at.ip()).and_then(|slot| self.server_at.get(slot).copied()).unwrap_or(usize::MAX)
     }
 
+    /// Services in all.
+    pub fn services(&self) -> usize {
+        self.routes.len()
+    }
+
+    /// A route that names this service.
+    pub fn route(&self, service: usize) -> &str {
+        &self.routes[service]
+    }
+
     /// A route whose service has this server.
     pub fn route_to(&self, server: usize) -> &str {
-        &self.routes[self.service_of[server]]
+        self.route(self.service_of[server])
     }
 
     /// Services with their routes and networks; none where all servers are of one service without a name.
--- a/lab/src/scale/quotas.rs
+++ b/lab/src/scale/quotas.rs
@@ -1,6 +1,6 @@
 //! What tenants' quotas cost an ingress: memory, processor time and calls to the counter.
 
-use super::hollow::{Hollow, Load, Traffic, World};
+use super::hollow::{Demand, Hollow, Load, Traffic, World};
 use super::listing::Listing;
 use super::measure::{resident_bytes, timed};
 use super::report::{Figure, RoleReport};
@@ -34,10 +34,10 @@
         for tenant in 0..size {
             let at = FILL.mul_f64((tenant + 1) as f64 / size as f64);
             hollow.run(at, None, &mut world);
-            hollow.request(tenant as u64, &mut world);
+            hollow.request(tenant as u64, Demand::ByServers, &mut world);
         }
         memory.push(size, &[resident_bytes().saturating_sub(before) as f64 / f64::from(1 << 20)]);
-        let load = Load { rate: targets::REQUESTS_PER_INGRESS, tenants: size };
+        let load = Load { rate: targets::REQUESTS_PER_INGRESS, tenants: size, demand: Demand::ByServers };
         let (mut resting, mut requests, mut traffic) = (Vec::new(), Vec::new(), Traffic::default());
         let length = Duration::from_millis(1000 * run.seconds / run.repeats as u64);
         for _ in 0..run.repeats {
--- a/lab/src/scale/servers.rs
+++ b/lab/src/scale/servers.rs
@@ -1,6 +1,6 @@
 //! What the form servers of one service bear of all ingresses: connections and probes.
 
-use super::hollow::{Arrival, Hollow, Load, World};
+use super::hollow::{Arrival, Demand, Hollow, Load, World};
 use super::listing::Listing;
 use super::report::{Figure, RoleReport};
 use super::{targets, Run};
@@ -27,8 +27,11 @@
     let mut links =
         Figure::reckoned("connections open at an ingress with 3,200 such services", "connections");
     // Of its requests each service gets an even share.
-    let load =
-        Load { rate: targets::REQUESTS_PER_INGRESS / targets::SERVICES as f64, tenants: targets::TENANTS };
+    let load = Load {
+        rate: targets::REQUESTS_PER_INGRESS / targets::SERVICES as f64,
+        tenants: targets::TENANTS,
+        demand: Demand::ByServers,
+    };
     let listing = Arc::new(Listing::single(SERVERS));
     let line = listing.whole();
     for &size in &run.sizes {
