--- a/lab/src/scale/events.rs
+++ b/lab/src/scale/events.rs
@@ -152,6 +152,13 @@
     one(figures, "regions: requests refused, 5 s after they met", "%", ingresses, refused(&met));
 }
 
+/// Plays only a zone's return, at each size.
+pub fn zone_returns(run: &Run) -> RoleReport {
+    let mut figures = Vec::new();
+    run.sizes.iter().for_each(|&size| zone(run, size, &mut figures));
+    run.report("zone", "ingresses", figures, vec![run.shape()])
+}
+
 /// The servers of one zone among so many.
 fn zone_servers(servers: usize) -> impl Iterator<Item = usize> {
     (0..servers).step_by(ZONES)
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -20,6 +20,7 @@
 mod servers;
 pub mod targets;
 
+pub use events::zone_returns;
 use report::{Figure, RoleReport};
 use std::io::IsTerminal;
 use std::ops::RangeInclusive;
