--- /dev/null
+++ b/lab/src/scale/listing.rs
@@ -0,0 +1,177 @@
+//! Lists of servers as discovery words them, each server at an address of its own, and the services that they are
+//! divided into.
+
+use super::daemon::layout::Layout;
+use super::targets;
+use roseyard_engine::{Directory, DirectoryBounds, DirectoryChange, ServerSelector};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+const PORT: u16 = 7000;
+const ZONES: usize = 13;
+/// Servers of the largest service at least, where there are several: it has its multiple of the mean at any size.
+const LEAST_LARGEST: usize = 34;
+const BOUNDS: DirectoryBounds = DirectoryBounds { services: 4_096, routes: 16_384 };
+
+/// State of a server in a list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// It takes work.
+    Serving,
+    /// It finishes its work.
+    Draining,
+    /// It is removed.
+    Deleted,
+}
+
+/// One server of a list. A server that is replaced keeps its address and gets another generation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Which of the servers, from 0.
+    pub server: usize,
+    /// Counts the processes that have been this server.
+    pub generation: u32,
+    /// Its state.
+    pub state: State,
+    /// Unix time of its start in milliseconds, 0 for long ago.
+    pub started_ms: u64,
+}
+
+impl Entry {
+    /// A server that has served for long.
+    pub fn serving(server: usize) -> Entry {
+        Entry { server, generation: 0, state: State::Serving, started_ms: 0 }
+    }
+}
+
+/// All servers, where they listen, and the service that each belongs to.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    layout: Layout,
+    addresses: Vec<Ipv4Addr>,
+    service_of: Vec<usize>,
+    /// The server at each address, by the address's number.
+    server_at: Vec<usize>,
+    /// A route that names each service.
+    routes: Vec<String>,
+}
+
+impl Listing {
+    /// So many servers: all in one service, or in services as the plan has them, in proportion.
+    pub fn new(servers: usize, by_service: bool) -> Listing {
+        if by_service {
+            Listing::by_service(servers)
+        } else {
+            Listing::of(Layout::unnamed(servers as u32))
+        }
+    }
+
+    /// So many servers in one service.
+    pub fn single(servers: usize) -> Listing {
+        Listing::new(servers, false)
+    }
+
+    fn by_service(servers: usize) -> Listing {
+        let services = (servers * targets::SERVICES / targets::SERVERS).max(1);
+        let routes = (servers * targets::ROUTES / targets::SERVERS).max(services);
+        let largest = (servers * targets::LARGEST_SERVICE / targets::SERVERS).max(LEAST_LARGEST).min(servers);
+        Listing::of(Layout::long_tail(servers as u32, services as u32, largest as u32, routes as u32))
+    }
+
+    fn of(layout: Layout) -> Listing {
+        let in_service = |(number, service): (usize, &super::daemon::layout::Service)| {
+            service.addresses().map(move |address| (number, address)).collect::<Vec<_>>()
+        };
+        let placed: Vec<_> = layout.services.iter().enumerate().flat_map(in_service).collect();
+        let mut server_at = vec![usize::MAX; layout.slots()];
+        for (server, (_, address)) in placed.iter().enumerate() {
+            if let Some(slot) = Layout::slot(*address) {
+                server_at[slot] = server;
+            }
+        }
+        let (service_of, addresses) = placed.into_iter().unzip();
+        let routes = (0..layout.services.len()).map(|service| format!("form-route-{service:05}")).collect();
+        Listing { layout, addresses, service_of, server_at, routes }
+    }
+
+    /// Servers in all.
+    pub fn servers(&self) -> usize {
+        self.addresses.len()
+    }
+
+    /// Servers of each service, the largest first.
+    pub fn service_sizes(&self) -> Vec<usize> {
+        self.layout.services.iter().map(|service| service.servers as usize).collect()
+    }
+
+    /// Which server listens at an address.
+    pub fn server_at(&self, address: SocketAddr) -> usize {
+        let SocketAddr::V4(at) = address else { return usize::MAX };
+        Layout::slot(*at.ip()).and_then(|slot| self.server_at.get(slot).copied()).unwrap_or(usize::MAX)
+    }
+
+    /// Services in all.
+    pub fn services(&self) -> usize {
+        self.routes.len()
+    }
+
+    /// A route that names this service.
+    pub fn route(&self, service: usize) -> &str {
+        &self.routes[service]
+    }
+
+    /// A route whose service has this server.
+    pub fn route_to(&self, server: usize) -> &str {
+        self.route(self.service_of[server])
+    }
+
+    /// Services with their routes and networks; none where all servers are of one service without a name.
+    pub fn directory(&self) -> Option<Directory> {
+        if !self.layout.named {
+            return None;
+        }
+        let mut directory = Directory::new(BOUNDS);
+        let mut apply = |change| {
+            directory.apply(change).expect("the lab's own directory is sound");
+        };
+        let names: Vec<Arc<str>> =
+            (0..self.layout.services.len()).map(|n| format!("service-{n:04}").into()).collect();
+        for (name, service) in names.iter().zip(&self.layout.services) {
+            apply(DirectoryChange::AddService { name: Arc::clone(name) });
+            for network in service.network_names() {
+                let network = network.parse().expect("a network of the layout");
+                let (servers, service) = (ServerSelector::network(network), Arc::clone(name));
+                apply(DirectoryChange::Assign { servers, service });
+            }
+        }
+        for route in 0..self.layout.routes as usize {
+            let service = Arc::clone(&names[route % names.len()]);
+            apply(DirectoryChange::SetRoute { route: format!("form-route-{route:05}").into(), service });
+        }
+        Some(directory)
+    }
+
+    /// One line of a watch, without its end.
+    pub fn encode(&self, revision: u64, whole: bool, entries: &[Entry]) -> Vec<u8> {
+        let targets: Vec<String> = entries.iter().map(|entry| self.target(entry)).collect();
+        format!(r#"{{"rev":{revision},"all":{whole},"targets":[{}]}}"#, targets.join(",")).into_bytes()
+    }
+
+    /// The whole list.
+    pub fn whole(&self) -> Vec<u8> {
+        self.encode(1, true, &(0..self.servers()).map(Entry::serving).collect::<Vec<_>>())
+    }
+
+    fn target(&self, entry: &Entry) -> String {
+        let state = match entry.state {
+            State::Serving => "SERVING",
+            State::Draining => "DRAINING",
+            State::Deleted => "DELETED",
+        };
+        let Entry { server, generation, started_ms, .. } = entry;
+        let (zone, pod, at) = (server % ZONES, server % 1_000, self.addresses[*server]);
+        format!(
+            r#"{{"uid":"fs-{server:05}-{generation}","endpoint":"{at}:{PORT}","az":"zone-{zone:02}","model":"std","pod_group":{pod},"state":"{state}","capacity_hint":1.0,"boot_ms":{started_ms}}}"#
+        )
+    }
+}
