--- a/ingress/tests/scale.rs
+++ b/ingress/tests/scale.rs
@@ -17,6 +17,7 @@
         all_tenants: false,
         counter: true,
         probes: true,
+        servers_close: false,
         rate: 256.0,
         spread: 1,
         run: Run { sizes: sizes.to_vec(), seconds, seed: 11, repeats, progress: false },
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -74,6 +74,9 @@
     /// With '--role daemon': the settings forbid probes of servers.
     #[arg(long)]
     without_probes: bool,
+    /// With '--role daemon': servers close a connection once they have answered a request on it.
+    #[arg(long)]
+    servers_close: bool,
     /// With '--role daemon': requests a second.
     #[arg(long, default_value_t = 256.0, value_parser = rate)]
     rate: f64,
@@ -216,6 +219,7 @@
         all_tenants: args.all_tenants,
         counter: !args.without_counter,
         probes: !args.without_probes,
+        servers_close: args.servers_close,
         rate: args.rate,
         spread: args.spread,
         run: run.clone(),
--- a/lab/src/scale/daemon.rs
+++ b/lab/src/scale/daemon.rs
@@ -16,7 +16,7 @@
 use layout::{target, Layout};
 use load::Load;
 use meter::Totals;
-use platform::Platform;
+use platform::{Conduct, Platform};
 use process::Process;
 use serde_json::Value;
 use std::io;
@@ -72,6 +72,8 @@
     pub counter: bool,
     /// May the daemon probe servers?
     pub probes: bool,
+    /// Do servers close a connection once they have answered a request on it? Each request then needs a new one.
+    pub servers_close: bool,
     /// Requests a second.
     pub rate: f64,
     /// Ingresses through which each tenant's requests come: 1 needs no shared counter.
@@ -81,6 +83,10 @@
 }
 
 impl Options {
+    fn conduct(&self) -> Conduct {
+        Conduct { work: Duration::ZERO, once: self.servers_close }
+    }
+
     /// The platform's settings.
     fn settings(&self) -> Value {
         let mut settings = site::settings_for(INGRESSES, TENANT_RATE);
@@ -156,6 +162,7 @@
     p50_ms: f64,
     p99_ms: f64,
     change_us: f64,
+    change_burst_us: f64,
     counter_out: f64,
     counter_in: f64,
     discovery_in: f64,
@@ -167,7 +174,7 @@
 /// A figure: its name, its unit, and where a sample holds it.
 type Quantity = (&'static str, &'static str, fn(&Sample) -> f64);
 
-const QUANTITIES: [Quantity; 16] = [
+const QUANTITIES: [Quantity; 17] = [
     ("ready", "s", |s| s.ready_s),
     ("resident", "MiB", |s| s.resident_mib),
     ("resident at most", "MiB", |s| s.peak_mib),
@@ -177,7 +184,8 @@
     ("processor time of a request", "us", |s| s.request_us),
     ("p50 at the client", "ms", |s| s.p50_ms),
     ("p99 at the client", "ms", |s| s.p99_ms),
-    ("processor time of a change of one server", "us", |s| s.change_us),
+    ("processor time of a change of one server, alone", "us", |s| s.change_us),
+    ("processor time of a change of one server, of many at once", "us", |s| s.change_burst_us),
     ("to the counter a request", "bytes", |s| s.counter_out),
     ("from the counter a request", "bytes", |s| s.counter_in),
     ("from discovery at rest", "bytes/s", |s| s.discovery_in),
@@ -270,7 +278,8 @@
 fn sample(options: &Options, case: &Case, seed: u64) -> io::Result<Sample> {
     let layout = case.layout();
     let runtimes = Runtimes::start()?;
-    let platform = runtimes.platform.block_on(Platform::start(&layout, Duration::ZERO, options.counter))?;
+    let platform =
+        runtimes.platform.block_on(Platform::start(&layout, options.conduct(), options.counter))?;
     let program =
         if case.before { options.before.as_ref().unwrap_or(&options.daemon) } else { &options.daemon };
     let process = Process::start(program, &layout, &platform, &options.settings())?;
@@ -287,7 +296,8 @@
     let rest = process.busy(REST)?;
     sample.rest_after_percent = 100.0 * rest;
     loaded.tell(rest, &mut sample);
-    sample.change_us = changes(&layout, &platform, &process, rest)?;
+    sample.change_us = changes(&layout, &platform, &process, rest, CHANGE_EVERY)?;
+    sample.change_burst_us = changes(&layout, &platform, &process, rest, Duration::ZERO)?;
     sample.resident_mib = mib(process.daemon.rss_kib()?);
     sample.all_tenants_mib = f64::NAN;
     if case.tenants == ALL_TENANTS && !case.before {
@@ -356,12 +366,18 @@
 }
 
 /// Processor time, in microseconds, of a change that discovery tells: one server comes, or goes again.
-fn changes(layout: &Layout, platform: &Platform, process: &Process, rest: f64) -> io::Result<f64> {
+fn changes(
+    layout: &Layout,
+    platform: &Platform,
+    process: &Process,
+    rest: f64,
+    every: Duration,
+) -> io::Result<f64> {
     let (began, used) = (Instant::now(), process.daemon.scheduled()?);
     for n in 0..CHANGES {
         let state = if n.is_multiple_of(2) { "SERVING" } else { "DELETED" };
         platform.discovery.change(&[target(layout.spare_address(), platform.port, state, 0.0)]);
-        std::thread::sleep(CHANGE_EVERY);
+        std::thread::sleep(every);
     }
     std::thread::sleep(SETTLE);
     let used = process.daemon.scheduled()?.saturating_sub(used);
@@ -373,7 +389,8 @@
 fn direct(options: &Options) -> io::Result<String> {
     let layout = Layout::unnamed(1);
     let runtimes = Runtimes::start()?;
-    let platform = runtimes.platform.block_on(Platform::start(&layout, Duration::ZERO, options.counter))?;
+    let platform =
+        runtimes.platform.block_on(Platform::start(&layout, options.conduct(), options.counter))?;
     let Some(server) = layout.services[0].addresses().next() else { return Ok(String::new()) };
     let address = SocketAddr::from((server, platform.port));
     let load = Load::of(&layout, options.rate, SOME_TENANTS, 1, options.run.seed);
--- a/lab/src/scale/daemon/faults.rs
+++ b/lab/src/scale/daemon/faults.rs
@@ -2,7 +2,7 @@
 
 use super::layout::{target, Layout, Service};
 use super::load::Load;
-use super::platform::{Behaviour, Platform};
+use super::platform::{Behaviour, Conduct, Platform};
 use super::process::Process;
 use super::{Options, Runtimes, SETTLE};
 use crate::judge::{judge, Event, What};
@@ -159,7 +159,8 @@
 
     fn start_with(options: &Options, layout: Layout) -> io::Result<Stage> {
         let runtimes = Runtimes::start()?;
-        let platform = runtimes.platform.block_on(Platform::start(&layout, WORK, options.counter))?;
+        let conduct = Conduct { work: WORK, once: false };
+        let platform = runtimes.platform.block_on(Platform::start(&layout, conduct, options.counter))?;
         let process = Process::start(&options.daemon, &layout, &platform, &options.settings())?;
         let load = |services: std::ops::Range<u32>, rate, seed| {
             Load::for_services(&layout, services, rate, TENANTS, options.spread, seed)
--- a/lab/src/scale/daemon/platform.rs
+++ b/lab/src/scale/daemon/platform.rs
@@ -33,24 +33,32 @@
     Dead,
 }
 
+/// What all servers do alike.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Conduct {
+    /// Time that a server takes for a request.
+    pub work: Duration,
+    /// Servers close a connection once they have answered a request on it.
+    pub once: bool,
+}
+
 /// All servers, by the number of their address.
 pub struct Servers {
     dead: Vec<AtomicU8>,
     traffic: Traffic,
     changed: watch::Sender<()>,
-    /// Time that a server takes for a request.
-    work: Duration,
+    conduct: Conduct,
     /// What came to them.
     pub ledger: Ledger,
 }
 
 impl Servers {
-    fn new(slots: usize, work: Duration) -> Servers {
+    fn new(slots: usize, conduct: Conduct) -> Servers {
         Servers {
             dead: (0..slots).map(|_| AtomicU8::new(0)).collect(),
             traffic: Traffic::default(),
             changed: watch::channel(()).0,
-            work,
+            conduct,
             ledger: Ledger::default(),
         }
     }
@@ -88,11 +96,13 @@
     let Ok(SocketAddr::V4(at)) = stream.local_addr() else { return };
     let Some(slot) = Layout::slot(*at.ip()) else { return };
     // A connection that is dropped before its end is reset, as those of a machine that has died.
-    if stream.set_zero_linger().is_err() {
+    // Those that close after an answer end in order.
+    let Conduct { work, once } = servers.conduct;
+    if !once && stream.set_zero_linger().is_err() {
         return;
     }
     let mut changed = servers.changed.subscribe();
-    let serving = standins::form_connection(stream, servers.work, slot, servers.ledger.clone());
+    let serving = standins::form_connection(stream, work, slot, servers.ledger.clone(), once);
     tokio::pin!(serving);
     while !servers.is_dead(slot) {
         tokio::select! {
@@ -186,11 +196,11 @@
 }
 
 impl Platform {
-    /// Starts it for these servers, each of which takes `work` for a request.
-    pub async fn start(layout: &Layout, work: Duration, counter: bool) -> io::Result<Platform> {
+    /// Starts it for these servers; without a counter the daemon is told of none.
+    pub async fn start(layout: &Layout, conduct: Conduct, counter: bool) -> io::Result<Platform> {
         let listener = TcpListener::bind((IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0)).await?;
         let port = listener.local_addr()?.port();
-        let servers = Arc::new(Servers::new(layout.slots(), work));
+        let servers = Arc::new(Servers::new(layout.slots(), conduct));
         tokio::spawn(accept(listener, Arc::clone(&servers)));
         let discovery = Arc::new(Discovery::new(&layout.list(port)));
         let watches =
--- a/lab/src/standins.rs
+++ b/lab/src/standins.rs
@@ -50,22 +50,25 @@
 
 async fn form_server(listener: TcpListener, work: Duration, server: usize, ledger: Ledger) {
     while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(form_connection(stream, work, server, ledger.clone()));
+        tokio::spawn(form_connection(stream, work, server, ledger.clone(), false));
     }
 }
 
-/// Answers each request with its id as the value, and probes with a load report.
+/// Answers each request with its id as the value, and probes with a load report. If `once`, it closes after a request's
+/// answer.
 pub(crate) async fn form_connection(
     mut stream: TcpStream,
     work: Duration,
     server: usize,
     ledger: Ledger,
+    once: bool,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut input = BytesMut::with_capacity(4096);
     loop {
         while let Ok(Some((BytesFrame::Array(words), _, _))) = decode_bytes_mut(&mut input) {
             let word = |n: usize| words.get(n).and_then(BytesFrame::as_bytes).unwrap_or_default();
+            let is_request = matches!(word(0), b"API.READ" | b"API.WRITE");
             let answer = match word(0) {
                 b"API.READ" | b"API.WRITE" => {
                     let id = String::from_utf8_lossy(word(2)).into_owned();
@@ -83,6 +86,9 @@
                 _ => "-ERR unknown command\r\n".to_owned(),
             };
             stream.write_all(answer.as_bytes()).await?;
+            if once && is_request {
+                return Ok(());
+            }
         }
         if stream.read_buf(&mut input).await? == 0 {
             return Ok(());
