--- a/lab/src/scale/daemon/faults.rs
+++ b/lab/src/scale/daemon/faults.rs
@@ -37,6 +37,8 @@
 /// A cold server is watched for so long, and gets at most this share of what a warm one gets.
 const COLD_SPAN: Duration = Duration::from_secs(3);
 const COLD_SHARE: f64 = 0.5;
+/// Load before a fault.
+const WARM_UP: Duration = Duration::from_secs(4);
 /// Reloads that move routes under load, and between two of them.
 const MOVES: u32 = 8;
 const MOVE_EVERY: Duration = Duration::from_millis(500);
@@ -88,6 +90,8 @@
 /// A fault of one service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
+    /// None but that the daemon has just started.
+    Start,
     /// All of its servers die.
     ServersDie,
     /// All of its servers drain.
@@ -104,7 +108,8 @@
 
 impl Fault {
     /// All of them.
-    pub const ALL: [Fault; 6] = [
+    pub const ALL: [Fault; 7] = [
+        Fault::Start,
         Fault::ServersDie,
         Fault::ServersDrain,
         Fault::ComesBackCold,
@@ -115,6 +120,7 @@
 
     fn name(self) -> &'static str {
         match self {
+            Fault::Start => "the daemon has just started",
             Fault::ServersDie => "all servers of a service die",
             Fault::ServersDrain => "all servers of a service drain",
             Fault::ComesBackCold => "a service comes back, half of it cold",
@@ -127,6 +133,7 @@
     /// Plays it on a daemon of its own.
     pub fn play(self, options: &Options) -> io::Result<Vec<Finding>> {
         match self {
+            Fault::Start => start(options),
             Fault::ServersDie => servers_die(options),
             Fault::ServersDrain => servers_drain(options),
             Fault::ComesBackCold => comes_back_cold(options),
@@ -157,6 +164,13 @@
         Stage::start_with(options, layout)
     }
 
+    /// The same once services have been in use for a while.
+    fn start_warm(options: &Options) -> io::Result<Stage> {
+        let stage = Stage::start(options)?;
+        stage.wait_both(stage.play(&stage.victim, WARM_UP), stage.play(&stage.others, WARM_UP));
+        Ok(stage)
+    }
+
     fn start_with(options: &Options, layout: Layout) -> io::Result<Stage> {
         let runtimes = Runtimes::start()?;
         let conduct = Conduct { work: WORK, once: false };
@@ -168,10 +182,7 @@
         let services = layout.services.len() as u32;
         let victim = load(VICTIM..VICTIM + 1, VICTIM_RATE, options.run.seed + 1);
         let others = load(VICTIM + 1..services, OTHERS_RATE, options.run.seed + 2);
-        let stage = Stage { layout, runtimes, platform, process, victim, others };
-        // Connections are open, answer times are known.
-        stage.wait_both(stage.play(&stage.victim, SETTLE), stage.play(&stage.others, SETTLE));
-        Ok(stage)
+        Ok(Stage { layout, runtimes, platform, process, victim, others })
     }
 
     fn address(&self) -> SocketAddr {
@@ -293,7 +304,7 @@
 }
 
 fn servers_die(options: &Options) -> io::Result<Vec<Finding>> {
-    let stage = Stage::start(options)?;
+    let stage = Stage::start_warm(options)?;
     let compared = stage.compare(options, |on| {
         let behaviour = if on { Behaviour::Dead } else { Behaviour::Serving };
         stage.platform.servers.set(stage.victim_service().addresses(), behaviour);
@@ -306,7 +317,7 @@
 
 fn servers_drain(options: &Options) -> io::Result<Vec<Finding>> {
     let fault = Fault::ServersDrain;
-    let stage = Stage::start(options)?;
+    let stage = Stage::start_warm(options)?;
     let (mut late, mut mark) = (0, 0);
     let compared = stage.compare(options, |on| {
         if on {
@@ -331,7 +342,7 @@
 /// All servers of the service die and are told gone. Then they come back: every second one has just started.
 fn comes_back_cold(options: &Options) -> io::Result<Vec<Finding>> {
     let fault = Fault::ComesBackCold;
-    let stage = Stage::start(options)?;
+    let stage = Stage::start_warm(options)?;
     let is_cold = |number: usize| number.is_multiple_of(2);
     let addresses: Vec<Ipv4Addr> = stage.victim_service().addresses().collect();
     let (mut cold, mut warm) = (0, 0);
@@ -364,7 +375,7 @@
 }
 
 fn flood(options: &Options) -> io::Result<Vec<Finding>> {
-    let stage = Stage::start(options)?;
+    let stage = Stage::start_warm(options)?;
     let flood = stage.victim.with_rate(FLOOD_RATE);
     let compared = stage.compare(options, |on| {
         if on {
@@ -374,8 +385,21 @@
     Ok(compared.findings(Fault::Flood))
 }
 
-fn routes_move(options: &Options) -> io::Result<Vec<Finding>> {
+/// What is asked from the first moment on: no service was ever used.
+fn start(options: &Options) -> io::Result<Vec<Finding>> {
     let stage = Stage::start(options)?;
+    let all = Load::of(&stage.layout, OTHERS_RATE, TENANTS, options.spread, options.run.seed + 5);
+    let outcome = stage.wait(stage.play(&all, stage.stretch(options)));
+    let not_served = outcome.asked - outcome.served;
+    Ok(vec![Fault::Start.finding(
+        "every request is served",
+        format!("{not_served} of {} not served: {} refused", outcome.asked, outcome.refused),
+        not_served == 0,
+    )])
+}
+
+fn routes_move(options: &Options) -> io::Result<Vec<Finding>> {
+    let stage = Stage::start_warm(options)?;
     let all = Load::of(&stage.layout, OTHERS_RATE, TENANTS, options.spread, options.run.seed + 3);
     let mark = stage.events().len();
     let playing = stage.play(&all, MOVE_EVERY * (MOVES + 1));
@@ -392,18 +416,25 @@
     }
     let outcome = stage.wait(playing);
     let verdict = judge(&stage.events()[mark..]);
-    let counted = |rule: &str, seen: String, kept| Fault::RoutesMove.finding(rule, seen, kept);
+    let finding = |rule: &str, seen: String, kept| Fault::RoutesMove.finding(rule, seen, kept);
     Ok(vec![
-        counted("every reload is taken", format!("{taken} of {MOVES}"), taken == MOVES),
-        counted(
-            "no request is lost",
-            format!("{} of {} served, {} rules broken", outcome.served, outcome.asked, verdict.broken.len()),
+        finding("every reload is taken", format!("{taken} of {MOVES}"), taken == MOVES),
+        finding(
+            "every request is served",
+            format!(
+                "{} of {} ({} refused, {} failed, {} rules broken)",
+                outcome.served,
+                outcome.asked,
+                outcome.refused,
+                outcome.failed,
+                verdict.broken.len()
+            ),
             outcome.asked > 0 && outcome.served == outcome.asked && verdict.broken.is_empty(),
         ),
-        counted(
+        finding(
             "none is repeated",
-            format!("{} attempts of {} requests", verdict.attempts, verdict.asked),
-            verdict.attempts == verdict.asked,
+            format!("{} attempts for {} that were served", verdict.attempts, verdict.served),
+            verdict.attempts == verdict.served,
         ),
     ])
 }
