Take in a list of 54,000 servers, by a bound that follows the memory

Cause: a line of the list was refused beyond 4 MiB, and 54,000 servers are 7.6 MB; a list that took longer to come than a call may stay without a word was called for over and over. Change: a line may hold a twelfth of the machine's memory, 4 MiB at least; a list that is on its way is waited for while its parts follow one another, at 8 KB a second on the whole at least; the buffer it came through is given back. The bound on what is read of the counter stays as it was, under a name of its own.

--- a/ingress/src/limits.rs
+++ b/ingress/src/limits.rs
@@ -21,8 +21,10 @@
     pub words: usize,
     /// Deepest nesting of an answer.
     pub depth: usize,
-    /// Longest line of the list of servers.
+    /// Longest line of the list of servers: a part of the memory, as it is held more than once while it is taken in.
     pub list_bytes: usize,
+    /// A list that is on its way and comes slower than this, bytes a second, is not waited for.
+    pub list_rate: f64,
     /// A connection's read buffer at first, and what it shrinks back to.
     pub chunk_bytes: usize,
     /// Answers that a client may leave unread before its requests are.
@@ -52,6 +54,8 @@
     pub pipelined: usize,
     /// Connections to the counter.
     pub counters: usize,
+    /// Bytes of answers read at once from a counter connection.
+    pub counter_bytes: usize,
     /// Calls on one counter connection that wait for answers.
     pub counter_calls: usize,
     /// Advice to clients whose requests cannot be held.
@@ -142,7 +146,8 @@
             line_bytes: 8 << 10,
             words: 32,
             depth: 4,
-            list_bytes: 4 << 20,
+            list_bytes: (memory / 12).max(4 << 20),
+            list_rate: 8.0 * 1024.0,
             chunk_bytes: 2 << 10,
             unread_bytes: 256 << 10,
             ahead_bytes: 512 << 10,
@@ -158,6 +163,7 @@
             requests: options.max_open().unwrap_or(20_000),
             pipelined: 1024,
             counters: operator.share(Use::Counter).most,
+            counter_bytes: 4 << 20,
             counter_calls: 4096,
             busy_again: ms(500),
             batch: 256,
--- a/ingress/src/routing/counter.rs
+++ b/ingress/src/routing/counter.rs
@@ -210,7 +210,7 @@
         wire.dirty = false;
         good = stream.flush().is_ok();
         if good && ready.readable {
-            let filled = stream.fill(io.limits.list_bytes, io.limits.chunk_bytes, ready.ended);
+            let filled = stream.fill(io.limits.counter_bytes, io.limits.chunk_bytes, ready.ended);
             spoilt = !self.take_answers(n, filled == Fill::Ended, io, life);
             good = !spoilt && matches!(filled, Fill::Drained | Fill::Limited);
         }
--- a/ingress/src/routing/discovery.rs
+++ b/ingress/src/routing/discovery.rs
@@ -24,6 +24,8 @@
     /// It has brought a line.
     spoke: bool,
     lists: Lists,
+    /// Since when a list has been on its way.
+    list_begun: Option<Duration>,
 }
 
 /// The watch.
@@ -126,6 +128,9 @@
             }
             stream.take(used);
         }
+        stream.trim(8 * limits.chunk_bytes);
+        let begun = self.list_begun.filter(|_| lines.is_empty());
+        self.list_begun = (self.on_its_way() > 0).then_some(begun.unwrap_or(io.now));
         match filled {
             Fill::Drained => Ok(()),
             Fill::Limited => Err("chunk too long"),
@@ -134,6 +139,21 @@
     }
 }
 
+impl Call {
+    /// Bytes of a list whose rest is still to come.
+    fn on_its_way(&self) -> usize {
+        let framed = if self.body.is_some() { self.stream.input().len() } else { 0 };
+        self.lists.held() + framed
+    }
+
+    /// Until when the rest of a list that is on its way is waited for: guards against a long list that is called for
+    /// over and over, as it takes longer than an answer may. Each part must follow the last one soon.
+    fn list_due(&self, now: Duration, limits: &Limits) -> Option<Duration> {
+        let earned = Duration::from_secs_f64(self.on_its_way() as f64 / limits.list_rate);
+        Some((now + limits.list_first).min(self.list_begun? + limits.list_first + earned))
+    }
+}
+
 impl Core {
     /// Opens the watch after the version held.
     pub(super) fn watch_open(&mut self, io: &mut Io) {
@@ -153,6 +173,7 @@
                 body: None,
                 spoke: false,
                 lists: Lists::default(),
+                list_begun: None,
             })
         });
         watch.call = opened.ok();
@@ -177,6 +198,9 @@
             self.watch.call = self.watch.elder.take();
         } else if !lines.is_empty() {
             self.watch.elder = None;
+        } else if let Some(at) = open.list_due(io.now, &io.limits) {
+            let at = self.watch.due.max(Some(at));
+            io.deadlines.set(&mut self.watch.due, at, Party::Watch(0));
         }
         for mut line in lines {
             io.deadlines.set(&mut self.watch.due, Some(io.now + io.limits.list_silence), Party::Watch(0));
--- a/ingress/tests/common/mod.rs
+++ b/ingress/tests/common/mod.rs
@@ -2,6 +2,8 @@
 //! parties around it, each a listener on loopback whose every byte the test decides.
 #![allow(dead_code)]
 
+pub mod running;
+
 use roseyard_ingress::clock::Clock;
 use roseyard_ingress::limits::Limits;
 use roseyard_ingress::program::{config::Config, Program};
--- a/ingress/tests/process.rs
+++ b/ingress/tests/process.rs
@@ -2,109 +2,12 @@
 
 mod common;
 
+use common::running::{answer_with, line_with, Running};
 use common::*;
-use rustix::process::{kill_process, Pid, Signal};
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, ExitStatus, Stdio};
-use std::time::Duration;
-
-/// The running program; ended with the test, whatever becomes of it.
-struct Running {
-    child: Child,
-    log: BufReader<std::process::ChildStderr>,
-    address: SocketAddr,
-    config: std::path::PathBuf,
-}
-
-impl Running {
-    fn start(name: &str, text: &str) -> Running {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_roseyard"));
-        command.env_remove("LB_DISCOVERY");
-        Running::start_with(name, text, command)
-    }
-
-    fn start_with(name: &str, text: &str, command: Command) -> Running {
-        Running::start_when(name, text, command, |_| ())
-    }
-
-    /// Listens only after something has been done.
-    fn start_when(
-        name: &str,
-        text: &str,
-        mut command: Command,
-        first: impl FnOnce(&mut BufReader<std::process::ChildStderr>),
-    ) -> Running {
-        let config = std::env::temp_dir().join(format!("roseyard-{}-{name}.json", std::process::id()));
-        std::fs::write(&config, text).unwrap();
-        let mut child = command
-            .env("LB_CONFIG", &config)
-            .env_remove("LB_NAME")
-            .env_remove("LB_LISTEN")
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut log = BufReader::new(child.stderr.take().unwrap());
-        first(&mut log);
-        let line = line_with(&mut log, "listening on ");
-        let address = line.rsplit(' ').next().unwrap().trim().parse().unwrap();
-        Running { child, log, address, config }
-    }
-
-    fn connect(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.address).unwrap();
-        stream.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
-        stream
-    }
-
-    fn signal(&self, signal: Signal) {
-        kill_process(Pid::from_child(&self.child), signal).unwrap();
-    }
-
-    fn terminate(&mut self) -> ExitStatus {
-        self.signal(Signal::TERM);
-        self.child.wait().unwrap()
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.config);
-    }
-}
-
-fn line_with(log: &mut impl BufRead, text: &str) -> String {
-    loop {
-        let mut line = String::new();
-        assert!(log.read_line(&mut line).unwrap() > 0, "the log ended before '{text}'");
-        if line.contains(text) {
-            return line;
-        }
-    }
-}
-
-/// Answers each message that ends so with this text, on a thread for each connection.
-fn answer_with(listener: TcpListener, ends_with: &'static [u8], text: &'static str) {
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.unwrap();
-            std::thread::spawn(move || {
-                let (mut seen, mut buf) = (Vec::new(), [0; 4096]);
-                while let Ok(n @ 1..) = stream.read(&mut buf) {
-                    seen.extend_from_slice(&buf[..n]);
-                    if seen.ends_with(ends_with) {
-                        seen.clear();
-                        if stream.write_all(text.as_bytes()).is_err() {
-                            return;
-                        }
-                    }
-                }
-            });
-        }
-    });
-}
+use rustix::process::Signal;
+use std::io::{Read, Write};
+use std::net::TcpListener;
+use std::process::Command;
 
 #[test]
 fn the_program_serves_a_request_and_ends_well_on_sigterm() {
--- a/ingress/tests/terms.rs
+++ b/ingress/tests/terms.rs
@@ -4,8 +4,15 @@
 
 mod common;
 
+use common::running::{answer_with, line_with, Running};
 use common::*;
-use std::time::Duration;
+use rustix::process::Signal;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 // Term 2: a client that closes or cancels has gone.
 
@@ -40,6 +47,7 @@
     PausedByAnswers,
 }
 
+const PING: &str = "*1\r\n$4\r\nPING\r\n";
 const SERVERS: usize = 4;
 /// More than the ingress reads at once and the system takes in behind that, and less than it holds of one client.
 const UNREAD_BEHIND: usize = 300_000;
@@ -100,7 +108,7 @@
     }
 
     fn pause_by_commands(&mut self) {
-        self.client.send("*1\r\n$4\r\nPING\r\n".repeat(PINGS));
+        self.client.send(PING.repeat(PINGS));
         let behind: Vec<u8> =
             (0..).flat_map(|id| load_of(5000 + id, 5000 + id)).take(UNREAD_BEHIND).collect();
         let mut rest = &behind[..];
@@ -265,12 +273,17 @@
 
 impl Telling {
     fn new(mode: Mode) -> Telling {
+        Telling::with(mode, &[])
+    }
+
+    /// One whose configuration has words replaced.
+    fn with(mode: Mode, words: &[(&str, &str)]) -> Telling {
         let mut site = Site::new(2);
         let ingresses = format!("\"Balancers\":{},", mode.ingresses);
         let discovery =
             if mode.pushed { "\"Discovery\":\"automatic\"" } else { "\"Discovery\":\"subscribe\"" };
-        let words = [("\"Balancers\":1,", &*ingresses), ("\"Discovery\":\"automatic\"", discovery)];
-        site.start_with_grace(mode.grace, &words);
+        let tier = [("\"Balancers\":1,", &*ingresses), ("\"Discovery\":\"automatic\"", discovery)];
+        site.start_with_grace(mode.grace, &[&tier, words].concat());
         site.talks = false;
         let seen = site.discovery.ends.len();
         Telling { site, mode, seen, left: None }
@@ -450,3 +463,194 @@
         }
     }
 }
+
+// Term 4: idle clients fill the descriptors while discovery is down. With none left at all it is
+// `descriptor_shortage.rs`.
+
+#[test]
+fn idle_clients_that_fill_the_descriptors_leave_discovery_counter_and_servers_theirs() {
+    for fault in [Fault::Refuses, Fault::Hangs, Fault::Silent, Fault::TurnsAway] {
+        let mut telling = Telling::with(MODES[0], &[("\"sockets\":1024", "\"sockets\":64")]);
+        let mut usual = telling.site.client();
+        usual.send(PING.repeat(2));
+        telling.site.expect(&mut usual, "+PONG\r\n+PONG\r\n");
+        telling.fail(fault);
+        let mut idle = Vec::new();
+        for n in 0..200 {
+            let mut client = telling.site.client();
+            // Half of them say nothing at all.
+            if n % 2 == 0 {
+                client.send(PING);
+            }
+            idle.push(client);
+            telling.step(fault);
+            if n % 50 == 0 {
+                serve(&mut telling.site, &mut usual, load_of(100 + n, n));
+            }
+        }
+        assert!(telling.site.program.open().2 < 64, "{fault:?}: no more clients than descriptors");
+        telling.recover(fault);
+        let since = telling.site.now;
+        let most = Duration::from_millis(1000 + STEP_MS);
+        telling.held_within(most, since, &format!("{fault:?}, filled with idle clients"));
+        let counted = telling.site.counter.calls.len();
+        usual.send(load_of(900, 900));
+        let (server, connection, _) = telling.site.arrival();
+        assert_eq!((server, telling.site.counter.calls.len()), (1, counted + 1), "{fault:?}");
+        telling.site.servers[server].ends[connection].send(served("v"));
+        telling.site.expect(&mut usual, "$1\r\nv\r\n");
+    }
+}
+
+// Term 5: nine in ten restarted processes are ready within 10 s.
+
+/// A restarted process has to be ready by then.
+const READY: Duration = Duration::from_secs(10);
+/// Answers each call to discovery with this text, so late.
+fn discovery_answers(listener: TcpListener, late: Duration, text: String) {
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, text) = (stream.unwrap(), text.clone());
+            std::thread::spawn(move || {
+                let mut head = [0; 4096];
+                if matches!(stream.read(&mut head), Ok(n) if n > 0) {
+                    std::thread::sleep(late);
+                    let _ = stream.write_all(text.as_bytes());
+                    // The watch stays open until the other side ends it.
+                    let _ = stream.read(&mut head);
+                }
+            });
+        }
+    });
+}
+
+/// Asks again and again at this address, over restarts; how many were served.
+fn load_on(address: SocketAddr, first_id: u64, ends: Arc<AtomicBool>, served: Arc<AtomicU64>) {
+    let mut id = first_id;
+    while !ends.load(Ordering::Relaxed) {
+        let Ok(mut stream) = TcpStream::connect(address) else {
+            std::thread::yield_now();
+            continue;
+        };
+        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        let mut answer = [0; 512];
+        while !ends.load(Ordering::Relaxed) {
+            id += 1;
+            if stream.write_all(&load_of(id % 1000, id)).is_err() {
+                break;
+            }
+            match stream.read(&mut answer) {
+                Ok(n @ 1..) => served.fetch_add(u64::from(answer[..n].starts_with(b"$")), Ordering::Relaxed),
+                _ => break,
+            };
+        }
+    }
+}
+
+/// Waits until `PING` is answered.
+fn until_ready(running: &Running) {
+    let mut stream = running.connect();
+    // Far beyond what is asked for, so that a late start is told by how late it is.
+    stream.set_read_timeout(Some(Duration::from_secs(300))).unwrap();
+    loop {
+        stream.write_all(PING.as_bytes()).unwrap();
+        let mut answer = [0; 256];
+        let n = stream.read(&mut answer).unwrap();
+        if answer[..n].starts_with(b"+PONG") {
+            return;
+        }
+    }
+}
+
+/// Restarts an ingress so many times at its address while clients go on asking; how long each took to be ready.
+fn restarts_under_load(name: &str, discovery: &Party, restarts: usize) -> Vec<Duration> {
+    const CLIENTS: u64 = 3;
+    let (server, counter) = (Party::new(), Party::new());
+    answer_with(server.blocking(), b"first=0\r\n", "*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n");
+    answer_with(counter.blocking(), b"\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
+    let text = config(&counter, discovery, std::slice::from_ref(&server), 1024);
+    let mut running = Running::start(name, &text);
+    let address = running.address;
+    let text = text.replace("\"listen\":\"127.0.0.1:0\"", &format!("\"listen\":\"{address}\""));
+    until_ready(&running);
+    let (ends, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|n| {
+            let (ends, served) = (ends.clone(), served.clone());
+            std::thread::spawn(move || load_on(address, n << 32, ends, served))
+        })
+        .collect();
+    let mut took = Vec::new();
+    for n in 0..restarts {
+        let before = served.load(Ordering::Relaxed);
+        running.signal(Signal::TERM);
+        let begun = Instant::now();
+        // It waits for the address while the one before still listens.
+        let next = Running::start(&format!("{name}-{n}"), &text);
+        until_ready(&next);
+        took.push(begun.elapsed());
+        let mut old = std::mem::replace(&mut running, next);
+        assert!(old.child.wait().unwrap().success(), "the one before ends well");
+        assert!(served.load(Ordering::Relaxed) > before, "clients are served meanwhile");
+    }
+    ends.store(true, Ordering::Relaxed);
+    clients.into_iter().for_each(|client| client.join().unwrap());
+    took
+}
+
+#[test]
+fn nine_in_ten_of_twenty_restarts_under_load_are_ready_within_10_s() {
+    let empty_line = format!("{HEAD}{}", chunk("\n"));
+    let discoveries = [("quick", Some(0)), ("late", Some(300)), ("slow", Some(1500)), ("silent", None)].map(
+        |(name, late)| {
+            let discovery = Party::new();
+            if let Some(late) = late {
+                discovery_answers(discovery.blocking(), Duration::from_millis(late), empty_line.clone());
+            }
+            (name, discovery)
+        },
+    );
+    let mut took: Vec<Duration> = std::thread::scope(|scope| {
+        let chains = discoveries.each_ref().map(|(name, discovery)| {
+            scope.spawn(move || restarts_under_load(&format!("ready-{name}"), discovery, 5))
+        });
+        chains.into_iter().flat_map(|chain| chain.join().unwrap()).collect()
+    });
+    took.sort();
+    println!("ready after: {took:?}");
+    assert!(took[17] <= READY, "nine in ten of 20 restarts were ready after {:?}: {took:?}", took[17]);
+}
+
+/// A list of so many servers, each at an address of its own.
+fn many_targets(servers: usize) -> Vec<String> {
+    let address = |n: usize| SocketAddr::from(([127, (n >> 16) as u8 + 1, (n >> 8) as u8, n as u8], 6379));
+    (0..servers).map(|n| target(n, address(n), "SERVING")).collect()
+}
+
+/// The most memory that a process has held, in MB.
+fn peak_mb(process: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap();
+    line.split_whitespace().nth(1).unwrap().parse::<usize>().unwrap() >> 10
+}
+
+#[test]
+fn a_process_that_starts_with_54000_servers_is_ready_within_10_s_and_takes_the_whole_list_in() {
+    const SERVERS: usize = 54_000;
+    const MEMORY_MB: usize = 192;
+    let (counter, discovery) = (Party::new(), Party::new());
+    let whole = list(42, true, &many_targets(SERVERS));
+    discovery_answers(discovery.blocking(), Duration::ZERO, format!("{HEAD}{}", chunk(&whole)));
+    let text = config(&counter, &discovery, &[], 1024);
+    let known = format!("\"targets\":[{}]", many_targets(SERVERS).join(","));
+    let text = text.replace("\"targets\":[]", &known);
+    let begun = Instant::now();
+    let mut running = Running::start_with("54000", &text, Command::new(env!("CARGO_BIN_EXE_roseyard")));
+    until_ready(&running);
+    let ready = begun.elapsed();
+    line_with(&mut running.log, "rev 42, 54000 servers ready");
+    let (held, peak) = (begun.elapsed(), peak_mb(running.child.id()));
+    println!("{SERVERS} servers: ready after {ready:?}, list held after {held:?}, peak {peak} MB");
+    assert!(ready <= READY, "ready after {ready:?}");
+    assert!(peak < MEMORY_MB, "{peak} MB of {MEMORY_MB}");
+}
