--- a/ingress/tests/terms.rs
+++ b/ingress/tests/terms.rs
@@ -464,6 +464,38 @@
     }
 }
 
+#[test]
+fn a_long_list_is_waited_for_while_its_parts_follow_one_another_and_not_when_it_dribbles() {
+    const PARTS: usize = 15;
+    const BETWEEN_MS: u64 = 400;
+    for dribbles in [false, true] {
+        let mut telling = Telling::new(MODES[0]);
+        telling.site.discovery.ends.iter_mut().for_each(End::hang_up);
+        let before = telling.site.discovery.ends.len();
+        while telling.site.discovery.ends.len() == before {
+            telling.site.advance(STEP_MS);
+        }
+        // Longer to come than a call may stay without a word.
+        let whole = list(42, true, &many_targets(600));
+        let part = if dribbles { 1 } else { whole.len().div_ceil(PARTS) };
+        telling.site.discovery.ends[before].send(HEAD);
+        for n in 0..PARTS {
+            let text = &whole[n * part..whole.len().min((n + 1) * part)];
+            telling.site.discovery.ends[before].send(chunk(text));
+            for _ in 0..5 {
+                telling.site.round();
+            }
+            telling.site.advance(BETWEEN_MS);
+        }
+        let calls = telling.site.discovery.ends.len() - before;
+        if dribbles {
+            assert!(calls > 1, "one call was waited for without end");
+        } else {
+            assert_eq!((calls, telling.site.program.list_version()), (1, 42));
+        }
+    }
+}
+
 // Term 4: idle clients fill the descriptors while discovery is down. With none left at all it is
 // `descriptor_shortage.rs`.
 
