--- a/lab/src/scale/daemon.rs
+++ b/lab/src/scale/daemon.rs
@@ -296,8 +296,8 @@
     let rest = process.busy(REST)?;
     sample.rest_after_percent = 100.0 * rest;
     loaded.tell(rest, &mut sample);
-    sample.change_us = changes(&layout, &platform, &process, rest, CHANGE_EVERY)?;
-    sample.change_burst_us = changes(&layout, &platform, &process, rest, Duration::ZERO)?;
+    sample.change_us = changes(&layout, &platform, &process, CHANGE_EVERY)?;
+    sample.change_burst_us = changes(&layout, &platform, &process, Duration::ZERO)?;
     sample.resident_mib = mib(process.daemon.rss_kib()?);
     sample.all_tenants_mib = f64::NAN;
     if case.tenants == ALL_TENANTS && !case.before {
@@ -366,13 +366,9 @@
 }
 
 /// Processor time, in microseconds, of a change that discovery tells: one server comes, or goes again.
-fn changes(
-    layout: &Layout,
-    platform: &Platform,
-    process: &Process,
-    rest: f64,
-    every: Duration,
-) -> io::Result<f64> {
+fn changes(layout: &Layout, platform: &Platform, process: &Process, every: Duration) -> io::Result<f64> {
+    // Probes have ceased since the load.
+    let rest = process.busy(REST)?;
     let (began, used) = (Instant::now(), process.daemon.scheduled()?);
     for n in 0..CHANGES {
         let state = if n.is_multiple_of(2) { "SERVING" } else { "DELETED" };
