--- a/lab/src/scale/membership.rs
+++ b/lab/src/scale/membership.rs
@@ -5,7 +5,7 @@
 use super::report::{Figure, RoleReport};
 use super::{targets, Run};
 use roseyard_membership::{
-    wire, Action, Event, Facts, Guard, Key, Name, Record, Settings, Stage, Status, Swim,
+    wire, Action, Event, Guard, Key, Metadata, Name, Received, Record, Settings, Stage, Status, Swim,
 };
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -93,7 +93,7 @@
         zone_peak.push(size, &[cost.peak]);
         zone_agreed.push(size, cost.agreed_after.as_slice());
     }
-    let most = Settings::new(targets::INGRESSES).most;
+    let most = Settings::new(targets::INGRESSES).max_members;
     notes.push(format!("the program remembers {most} members at most; here as many as there are"));
     let whole = [fleet_cost, fleet_bytes, join_bytes, split_peak, split_heals, zone_peak, zone_agreed];
     let figures = whole.into_iter().chain([rest, word, join, join_one]).collect();
@@ -113,14 +113,19 @@
     (at.ip().to_bits() - 0x7f01_0000) as usize
 }
 
-fn record(number: usize, life: u64) -> Record {
-    let facts = Facts { stage: Stage::Serving, ..Facts::default() };
+fn record(number: usize, generation: u64) -> Record {
+    let metadata = Metadata { stage: Stage::Serving, ..Metadata::default() };
     let (name, address, status) = (name(number), address(number), Status::Alive);
-    Record { name, address, life, round: 0, status, version: 0, facts }
+    let (incarnation, metadata_version) = (0, 0);
+    Record { name, address, generation, incarnation, status, metadata_version, metadata }
 }
 
 fn settings(members: usize) -> Settings {
-    Settings { most: members.max(1024), seeds: (0..3).map(address).collect(), ..Settings::new(members) }
+    Settings {
+        max_members: members.max(1024),
+        seeds: (0..3).map(address).collect(),
+        ..Settings::new(members)
+    }
 }
 
 fn guard(number: usize, members: usize) -> Guard {
@@ -129,7 +134,7 @@
 
 fn swim(number: usize, members: usize, seed: u64) -> Swim {
     let me = record(number, LIFE);
-    Swim::new(settings(members), me.name, me.address, me.life, me.facts, seed)
+    Swim::new(settings(members), me.name, me.address, me.generation, me.metadata, seed)
 }
 
 /// One datagram on its way.
@@ -187,7 +192,7 @@
         swim.handle(self.now, event, &mut actions);
         for action in actions {
             let Action::Send { to, body } = action else { continue };
-            let bytes = guard.seal(swim.me().life, &body);
+            let bytes = guard.seal(swim.local().generation, &body);
             (self.sent, self.bytes) = (self.sent + 1, self.bytes + bytes.len() as u64);
             let datagram = Datagram { to: number_at(to), from: number, bytes };
             self.under_way.insert((self.now + FLIGHT, self.sent), datagram);
@@ -250,8 +255,8 @@
     fn agrees(&self) -> bool {
         let alive =
             || self.members.iter().zip(&self.dead).filter(|(_, dead)| !**dead).map(|((swim, _), _)| swim);
-        let (sum, seen) = (alive().next().map(Swim::sum), alive().count());
-        alive().all(|swim| Some(swim.sum()) == sum && swim.quorum().seen == seen)
+        let (digest, seen) = (alive().next().map(Swim::digest), alive().count());
+        alive().all(|swim| Some(swim.digest()) == digest && swim.quorum().seen == seen)
     }
 
     /// Goes on for a second: bytes of a member in it, in and out.
@@ -298,8 +303,9 @@
 
 fn heard(guard: &mut Guard, datagram: &Datagram) -> Option<Event> {
     let opened = guard.open(&datagram.bytes).ok()?;
-    let (message, news) = wire::read(opened.body)?;
-    Some(Event::Heard { at: address(datagram.from), from: opened.from, life: opened.life, message, news })
+    let (message, updates) = wire::read(opened.body)?;
+    let (source, sender, generation) = (address(datagram.from), opened.sender, opened.generation);
+    Some(Event::Received(Received { source, sender, generation, message, updates }))
 }
 
 /// One real member whose pings are answered by peers that are made up.
