--- a/operator/tests/services.rs
+++ b/operator/tests/services.rs
@@ -133,7 +133,6 @@
             "'servers' takes addresses without a port; did you mean '10.2.3.4'?",
         ),
         ("service \"b\" { servers \"::ffff:10.0.0.0/104\" }", "takes IPv4 networks such as \"10.1.0.0/16\""),
-        ("service \"b\" { severs \"s-2\" }", "f:4:15: 'service' has no setting 'severs'; did you mean 'servers'?"),
         ("service \"b\" { servers uid=\"s-2\" }", "f:4:23: 'servers' takes no 'uid='"),
         ("service { servers \"s-2\" }", "f:4:1: 'service' has 0 values"),
         ("service \"\" { servers \"s-2\" }", "f:4:9: \"\" is not allowed here; 'service' takes 1 to 128 bytes"),
@@ -161,6 +160,14 @@
         let found = lines(&with(more));
         assert!(found.len() == 1 && found[0].contains(said), "{more}: {found:?}, not {said:?}");
     }
+    let misspelt = lines(&with("service \"b\" { severs \"s-2\" }"));
+    assert_eq!(
+        misspelt,
+        [
+            "f:4:9: service 'b' has no servers; add 'servers' with networks, addresses or uids",
+            "f:4:15: 'service' has no setting 'severs'; did you mean 'servers'?",
+        ]
+    );
     for (text, said) in [
         ("services { }", "f:1:1: 'services' names no service; add a 'service' or leave the section out"),
         ("services", "f:1:1: 'services' holds nothing; write 'services { … }' or leave it out"),
