Ingress: the front in three: client connections, commands, and what joins them to the core

front.rs held clients' connections, the platform's commands and their execution in 800 lines. client.rs is the connection and its phases, commands.rs what a request may name and what a client's words mean, listener.rs (was doors.rs, with Came as Accepted) accepts as admission decides; front.rs keeps the table of clients, reading, answering and draining. parse and flush, of 70 and 45 lines, are split into one function for each step (execute, take_request, refusal, flush_client, linger, after_flush). Behaviour is unchanged; no test is.

--- a/ingress/src/program/mod.rs
+++ b/ingress/src/program/mod.rs
@@ -8,9 +8,8 @@
 
 use crate::clock::Clock;
 use crate::limits::Limits;
-use crate::routing::front::Terms;
 use crate::routing::members::Members;
-use crate::routing::{Answer, Core, Front, Io, Party, Start};
+use crate::routing::{Answer, Core, Front, Io, Party, Start, Terms};
 use crate::transport::{allowed, listen, spare, Deadlines, Key, Poller, Ready};
 use cli::Run;
 use config::Config;
--- a/ingress/src/routing/front.rs
+++ b/ingress/src/routing/front.rs
@@ -1,191 +1,22 @@
 //! The platform's front: clients' connections, their commands in order, their answers in the same order.
 
+use super::client::{Client, Pending, Phase};
+use super::commands::{read_command, Command, Terms};
 use super::core::{Answer, Ask, Core};
-use super::doors::{busy, conn, turn_away, Came, Doors};
+use super::listener::{busy_reply, connection_id, turn_away, Accepted, Listener};
 use super::{Io, Party};
 use crate::limits::Limits;
-use crate::protocol::command::{self, Held};
 use crate::protocol::resp;
 use crate::transport::{spare, Fill, Key, Ready, Slots, Stream};
-use roseyard::{Class, CustomerId, Effect, Settings};
 use roseyard_admission::{Action, Event, Gate, Policy, Reputation, Use};
-use roseyard_engine::Directory;
-use roseyard_settings::Options;
 use rustix::fd::OwnedFd;
-use std::collections::{HashSet, VecDeque};
+use std::collections::HashSet;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-/// The answer to one command.
-enum Pending {
-    /// A request that the core holds, and the number that its client gave it.
-    Waiting(Key, u64),
-    /// Ready, but behind one that is not.
-    Done(Vec<u8>),
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Phase {
-    /// Commands are read.
-    Open,
-    /// No further command is read; the connection ends once all answers are written.
-    Ending,
-    /// Our sending has ended; the other side's end is awaited.
-    Lingering,
-}
-
-struct Client {
-    stream: Stream,
-    pending: VecDeque<Pending>,
-    /// Number of the first pending command.
-    first: u64,
-    /// Bytes of the answers that wait behind others.
-    waiting: usize,
-    phase: Phase,
-    /// An end was told of: only then is there more to see behind a short read. The client has left: what it asked
-    /// and what it still says is of no more use.
-    hup: bool,
-    /// Reading stopped short until answers have gone out.
-    blocked: bool,
-    /// It is on the list of those that go on in the next round.
-    queued: bool,
-    dirty: bool,
-    used: Duration,
-    /// Since when a command has been waiting for its rest.
-    begun: Option<Duration>,
-    /// Until when answers must have been taken in, and how many bytes were unwritten when that was set.
-    stall: Option<(Duration, usize)>,
-    /// Until when the other side's end is awaited, and what was thrown away since.
-    linger: Duration,
-    thrown: usize,
-    /// Its share of the bytes held for all clients.
-    held: usize,
-    due: Option<Duration>,
-}
-
-impl Client {
-    fn new(stream: Stream, now: Duration) -> Client {
-        Client {
-            stream,
-            pending: VecDeque::new(),
-            first: 0,
-            waiting: 0,
-            phase: Phase::Open,
-            hup: false,
-            blocked: false,
-            queued: false,
-            dirty: false,
-            used: now,
-            begun: None,
-            stall: None,
-            linger: Duration::ZERO,
-            thrown: 0,
-            held: 0,
-            due: None,
-        }
-    }
-
-    /// Puts an answer in its place; those in front go out. Hands back the request's own number.
-    fn settle(&mut self, number: u64, bytes: Vec<u8>) -> Option<u64> {
-        let place = self.pending.get_mut(usize::try_from(number.checked_sub(self.first)?).ok()?)?;
-        let Pending::Waiting(_, id) = *place else { return None };
-        self.waiting += bytes.len();
-        *place = Pending::Done(bytes);
-        while let Some(Pending::Done(bytes)) = self.pending.front() {
-            self.waiting -= bytes.len();
-            self.stream.output().extend_from_slice(bytes);
-            self.pending.pop_front();
-            self.first += 1;
-        }
-        Some(id)
-    }
-
-    /// Answers a command at once, behind those that wait.
-    fn reply(&mut self, bytes: &[u8]) {
-        if self.pending.is_empty() {
-            self.stream.output().extend_from_slice(bytes);
-            self.first += 1;
-        } else {
-            self.waiting += bytes.len();
-            self.pending.push_back(Pending::Done(bytes.to_vec()));
-        }
-    }
-
-    /// Says what cannot be read on; nothing that follows can be told apart.
-    fn protocol_error(&mut self, what: &str) {
-        self.reply(format!("-ERR Protocol error: {what}\r\n").as_bytes());
-        self.phase = Phase::Ending;
-    }
-
-    /// Is it between requests?
-    fn free(&self) -> bool {
-        self.pending.is_empty() && self.stream.unwritten() == 0
-    }
-
-    /// Between requests while the process ends. Guards against a newcomer whose first request is on its way when
-    /// its connection ends.
-    fn is_over(&self, now: Duration, limits: &Limits) -> bool {
-        let heard = self.first > 0 || now >= self.used + limits.drain_newcomer;
-        self.phase == Phase::Open && self.free() && self.stream.input().is_empty() && heard
-    }
-
-    /// The next time at which it must have moved on.
-    fn next_due(&self, patience: Duration, limits: &Limits) -> Option<Duration> {
-        if self.phase == Phase::Lingering {
-            return Some(self.linger);
-        }
-        let stall = self.stall.map(|(at, _)| at);
-        let part = self.begun.map(|at| at + limits.command_part);
-        let idle = Some(self.used + patience).filter(|_| self.free() && self.begun.is_none());
-        [stall, part, idle].into_iter().flatten().min()
-    }
-}
-
-/// What a request may name, by the index that the module knows it by, and its figures.
-pub struct Terms {
-    /// Classes.
-    pub classes: Vec<ClassTerms>,
-    /// Names of plans.
-    pub plans: Vec<String>,
-    /// Ingresses of the tier.
-    pub ingresses: u32,
-    /// Most units of a request.
-    pub units: f64,
-    /// The name in a request's list of names and values that carries its route; none: requests have no route.
-    pub route_field: Option<String>,
-}
-
-/// What is asked of a class's requests.
-pub struct ClassTerms {
-    /// Its name.
-    pub name: String,
-    /// May it safely be repeated, and comes with `API.READ`?
-    pub safe: bool,
-    /// Does it carry a key?
-    pub keyed: bool,
-}
-
-impl Terms {
-    /// The terms of these settings.
-    pub fn new(options: &Options, settings: &Settings, limits: &Limits, route_field: Option<&str>) -> Terms {
-        let class = |(name, class): (&str, &Class)| ClassTerms {
-            name: name.to_owned(),
-            safe: class.effect == Effect::Safe,
-            keyed: matches!(class.effect, Effect::Keyed { .. }),
-        };
-        Terms {
-            classes: options.class_names().into_iter().zip(&settings.classes).map(class).collect(),
-            plans: options.plan_names().into_iter().map(str::to_owned).collect(),
-            ingresses: settings.gateways.max(1),
-            units: limits.units,
-            route_field: route_field.map(str::to_owned),
-        }
-    }
-}
-
 /// All clients.
 pub struct Front {
-    doors: Doors,
+    listener: Listener,
     clients: Slots<Client>,
     terms: Terms,
     /// Numbers of the requests that are open, as their clients gave them.
@@ -203,16 +34,6 @@
     pub ready: bool,
 }
 
-/// Words of a command, as a client may send it.
-enum Command {
-    /// A request, and the number that its client gave it.
-    Request(Ask, u64),
-    Reply(&'static str),
-    /// It cannot be carried out; what follows can still be told apart.
-    Wrong(&'static str),
-    Quit,
-}
-
 /// Takes a connection out of the tables; its socket closes with what is handed back.
 fn close(key: Key, clients: &mut Slots<Client>, held: &mut usize, io: &mut Io) -> Option<Client> {
     let mut client = clients.remove(key)?;
@@ -231,7 +52,7 @@
 
 /// How long a connection may rest; while the process ends, only as long as a newcomer's first request may take.
 fn patience(gate: &Gate, key: Key, draining: bool, limits: &Limits) -> Duration {
-    let patience = gate.patience(conn(key));
+    let patience = gate.patience(connection_id(key));
     if draining {
         patience.min(limits.drain_newcomer)
     } else {
@@ -246,7 +67,7 @@
             resp::put_bulk(&mut out, &value);
             out
         }
-        Answer::Refused(after) => busy(after),
+        Answer::Refused(after) => busy_reply(after),
         Answer::Failed => b"-ERR failed\r\n".to_vec(),
     }
 }
@@ -261,7 +82,7 @@
         io: &mut Io,
     ) -> rustix::io::Result<Front> {
         Ok(Front {
-            doors: Doors::new(listener, policy, secret, io)?,
+            listener: Listener::new(listener, policy, secret, io)?,
             clients: Slots::default(),
             terms,
             open: HashSet::new(),
@@ -281,7 +102,7 @@
 
     /// Where it listens.
     pub fn address(&self) -> Option<SocketAddr> {
-        self.doors.address()
+        self.listener.address()
     }
 
     /// Clients connected.
@@ -307,13 +128,13 @@
     /// Connections wait at the listener.
     pub fn accept(&mut self, most: usize, core: &mut Core, io: &mut Io) {
         for _ in 0..most {
-            match self.doors.next(io) {
-                Came::Connection(stream, peer) => self.take_in(stream, peer, core, io),
-                Came::Nothing => return,
-                Came::Next => {}
-                Came::Shortage => {
+            match self.listener.accept(io) {
+                Accepted::Connection(stream, peer) => self.take_in(stream, peer, core, io),
+                Accepted::Nothing => return,
+                Accepted::Failed => {}
+                Accepted::Shortage => {
                     if !core.evict_idle(io) && !self.make_room(io) {
-                        return self.doors.turn_away_one(io);
+                        return self.listener.turn_away_one(io);
                     }
                 }
             }
@@ -334,9 +155,9 @@
     fn take_in(&mut self, stream: Stream, peer: IpAddr, core: &mut Core, io: &mut Io) {
         let key = self.clients.insert_with(|_| Client::new(stream, io.now));
         let mut away = None;
-        let event = Event::Connected { conn: conn(key), peer };
-        let (doors, clients, held) = (&mut self.doors, &mut self.clients, &mut self.held);
-        doors.tell(event, io, |action, io| match action {
+        let event = Event::Connected { conn: connection_id(key), peer };
+        let (listener, clients, held) = (&mut self.listener, &mut self.clients, &mut self.held);
+        listener.handle(event, io, |action, io| match action {
             Action::TurnAway { after, .. } => away = Some(after),
             _ => carry_out(action, clients, held, io),
         });
@@ -348,9 +169,9 @@
         }
         // Servers may have borrowed the descriptor that this place stands for.
         if !core.take_descriptor(Use::Clients, io) {
-            self.doors.tell(Event::Closed { conn: conn(key), fault: false }, io, |_, _| ());
+            self.listener.handle(Event::Closed { conn: connection_id(key), fault: false }, io, |_, _| ());
             if let Some(client) = self.clients.remove(key) {
-                turn_away(client.stream, self.doors.gate.policy().advice);
+                turn_away(client.stream, self.listener.gate.policy().advice);
             }
             return;
         }
@@ -370,41 +191,41 @@
 
     /// Tells admission, and closes what is to be closed.
     fn tell(&mut self, event: Event, io: &mut Io) {
-        let (doors, clients, held) = (&mut self.doors, &mut self.clients, &mut self.held);
-        doors.tell(event, io, |action, io| carry_out(action, clients, held, io));
+        let (listener, clients, held) = (&mut self.listener, &mut self.clients, &mut self.held);
+        listener.handle(event, io, |action, io| carry_out(action, clients, held, io));
     }
 
     /// Admission goes by other settings from now on.
     pub fn set_policy(&mut self, policy: Policy, io: &mut Io) {
-        for action in self.doors.set_policy(policy, io) {
+        for action in self.listener.set_policy(policy, io) {
             carry_out(action, &mut self.clients, &mut self.held, io);
         }
     }
 
     /// Admission, with what is known of clients.
     pub fn gate(&self) -> &Gate {
-        &self.doors.gate
+        &self.listener.gate
     }
 
     /// Admission, to be told what was known before the start.
     pub fn gate_mut(&mut self) -> &mut Gate {
-        &mut self.doors.gate
+        &mut self.listener.gate
     }
 
     /// It is time to tell what admission did.
     pub fn on_report_due(&mut self) {
-        self.doors.on_report_due();
+        self.listener.on_report_due();
     }
 
     /// The listener's pause is over.
     pub fn on_listener_due(&mut self, io: &mut Io) {
-        self.doors.go_on(io);
+        self.listener.resume(io);
     }
 
     /// Ends a connection; `fault` if that speaks against its address.
     fn close(&mut self, key: Key, fault: bool, io: &mut Io) -> Option<Client> {
         let client = close(key, &mut self.clients, &mut self.held, io)?;
-        self.tell(Event::Closed { conn: conn(key), fault }, io);
+        self.tell(Event::Closed { conn: connection_id(key), fault }, io);
         Some(client)
     }
 
@@ -440,7 +261,7 @@
     /// Sees to it that the client's next deadline is heard of; a later one waits for the one that is set.
     fn arm(&mut self, key: Key, io: &mut Io) {
         let Some(client) = self.clients.get_mut(key) else { return };
-        let patience = patience(&self.doors.gate, key, self.draining, &io.limits);
+        let patience = patience(&self.listener.gate, key, self.draining, &io.limits);
         let Some(at) = client.next_due(patience, &io.limits) else { return };
         if client.due.is_none_or(|due| at < due) {
             io.deadlines.set(&mut client.due, Some(at), Party::Client(key));
@@ -543,11 +364,11 @@
     fn discard(&mut self, key: Key, core: &mut Core, io: &mut Io) {
         let Some(client) = self.clients.get_mut(key) else { return };
         client.begun = None;
-        let (filled, thrown) = client.stream.discard(io.limits.round_discard, &mut self.scratch);
-        client.thrown += thrown;
+        let (filled, discarded) = client.stream.discard(io.limits.round_discard, &mut self.scratch);
+        client.discarded += discarded;
         match filled {
             Fill::Drained => {}
-            Fill::Limited if client.thrown < io.limits.discard => self.queue(key),
+            Fill::Limited if client.discarded < io.limits.discard => self.queue(key),
             _ => {
                 let _ = client.stream.flush();
                 return self.gone(key, false, core, io);
@@ -558,10 +379,8 @@
 
     /// Takes whole commands from what was read. True if it stopped for a limit.
     fn parse(&mut self, key: Key, core: &mut Core, io: &mut Io) -> bool {
-        let Some(client) = self.clients.get_mut(key) else { return false };
-        let (mut at, mut taken) = (0, 0);
-        let (mut full, name) = (false, conn(key));
-        while client.phase == Phase::Open {
+        let (mut at, mut taken, mut full) = (0, 0, false);
+        while let Some(client) = self.clients.get_mut(key).filter(|client| client.phase == Phase::Open) {
             client.blocked = client.pending.len() >= io.limits.pipelined;
             if client.blocked || taken >= io.limits.round_commands {
                 full = true;
@@ -570,72 +389,19 @@
             let (command, used) = match resp::command(&client.stream.input()[at..], &io.limits) {
                 Ok(None) => break,
                 Ok(Some((words, used))) => {
-                    let number = client.first + client.pending.len() as u64;
-                    (
-                        Ok(read_command(
-                            words.get(),
-                            (key, number),
-                            &self.terms,
-                            core.directory(),
-                            self.ready,
-                        )),
-                        used,
-                    )
+                    let owner = (key, client.first + client.pending.len() as u64);
+                    let words = words.get();
+                    (Ok(read_command(words, owner, &self.terms, core.directory(), self.ready)), used)
                 }
                 Err(wrong) => (Err(wrong), 0),
             };
             (at, taken) = (at + used, taken + 1);
-            // Between requests this tells nothing to be done but whether a request is to be refused.
-            let doors = &mut self.doors;
-            let mut tell = |event, io: &mut Io| {
-                let mut refused = None;
-                doors.tell(event, io, |action, _| {
-                    if let Action::Refuse { after } = action {
-                        refused = Some(after);
-                    }
-                });
-                refused
-            };
             match command {
-                // Guards against counting and sending on what nobody waits for.
-                Ok(Command::Request(..)) if client.hup => {}
-                // Guards against a request that was on its way when the drain began and would wait for a server
-                // past the end of the process; and against one that is sent by a list from before the start.
-                Ok(Command::Request(..)) if self.draining || !self.ready => client.reply(&busy(None)),
-                // Guards against one client that names another's open request: servers would drop one of them.
-                Ok(Command::Request(_, id)) if self.open.contains(&id) => {
-                    tell(Event::Wrong(name), io);
-                    client.reply(b"-ERR request id in use\r\n");
-                }
-                Ok(Command::Request(ask, id)) => {
-                    let customer = ask.customer.0;
-                    let refused = tell(Event::Asked { conn: name, customer }, io);
-                    match refused.map_or_else(|| core.submit(ask).ok_or(io.limits.busy_again), Err) {
-                        Ok(request) => {
-                            self.open.insert(id);
-                            client.pending.push_back(Pending::Waiting(request, id));
-                        }
-                        Err(after) => client.reply(&busy(Some(after))),
-                    }
-                }
-                Ok(Command::Reply(text)) => {
-                    tell(Event::Greeted(name), io);
-                    client.reply(text.as_bytes());
-                }
-                Ok(Command::Wrong(what)) => {
-                    tell(Event::Wrong(name), io);
-                    client.reply(format!("-ERR {what}\r\n").as_bytes());
-                }
-                Ok(Command::Quit) => {
-                    client.reply(b"+OK\r\n");
-                    client.phase = Phase::Ending;
-                }
-                Err(wrong) => {
-                    tell(Event::Wrong(name), io);
-                    client.protocol_error(wrong.0);
-                }
+                Ok(command) => self.execute(key, command, core, io),
+                Err(wrong) => self.refuse_malformed(key, wrong.0, io),
             }
         }
+        let Some(client) = self.clients.get_mut(key) else { return false };
         client.stream.take(at);
         if client.stream.unwritten() > 0 || client.phase == Phase::Ending {
             self.touch(key);
@@ -643,13 +409,93 @@
         full
     }
 
+    /// Carries a command out, or answers why not.
+    fn execute(&mut self, key: Key, command: Command, core: &mut Core, io: &mut Io) {
+        match command {
+            Command::Request(ask, id) => self.take_request(key, ask, id, core, io),
+            Command::Reply(text) => {
+                self.tell(Event::Greeted(connection_id(key)), io);
+                self.reply(key, text.as_bytes());
+            }
+            Command::Wrong(what) => {
+                self.tell(Event::Wrong(connection_id(key)), io);
+                self.reply(key, format!("-ERR {what}\r\n").as_bytes());
+            }
+            Command::Quit => {
+                self.reply(key, b"+OK\r\n");
+                if let Some(client) = self.clients.get_mut(key) {
+                    client.phase = Phase::Ending;
+                }
+            }
+        }
+    }
+
+    /// Hands a request to the core, unless it is to be refused.
+    fn take_request(&mut self, key: Key, ask: Ask, id: u64, core: &mut Core, io: &mut Io) {
+        if self.clients.get(key).is_none_or(|client| client.hup) {
+            return; // Guards against counting and sending on what nobody waits for.
+        }
+        if self.draining || !self.ready {
+            // Guards against a request that was on its way when the drain began and would wait for a server past the
+            // end of the process; and against one that is sent by a list from before the start.
+            return self.reply(key, &busy_reply(None));
+        }
+        if self.open.contains(&id) {
+            // Guards against one client that names another's open request: servers would drop one of them.
+            self.tell(Event::Wrong(connection_id(key)), io);
+            return self.reply(key, b"-ERR request id in use\r\n");
+        }
+        let submitted = match self.refusal(key, ask.customer.0, io) {
+            Some(after) => Err(after),
+            None => core.submit(ask).ok_or(io.limits.busy_again),
+        };
+        match submitted {
+            Ok(request) => self.wait_for(key, request, id),
+            Err(after) => self.reply(key, &busy_reply(Some(after))),
+        }
+    }
+
+    /// Asks admission for a request: when to come again, if it is refused.
+    fn refusal(&mut self, key: Key, customer: u64, io: &mut Io) -> Option<Duration> {
+        let mut refused = None;
+        let event = Event::Asked { conn: connection_id(key), customer };
+        self.listener.handle(event, io, |action, _| {
+            if let Action::Refuse { after } = action {
+                refused = Some(after);
+            }
+        });
+        refused
+    }
+
+    /// The client's next answer is that of a request which the core holds.
+    fn wait_for(&mut self, key: Key, request: Key, id: u64) {
+        self.open.insert(id);
+        if let Some(client) = self.clients.get_mut(key) {
+            client.pending.push_back(Pending::Waiting(request, id));
+        }
+    }
+
+    /// Answers what cannot be read; the connection ends.
+    fn refuse_malformed(&mut self, key: Key, what: &str, io: &mut Io) {
+        self.tell(Event::Wrong(connection_id(key)), io);
+        if let Some(client) = self.clients.get_mut(key) {
+            client.protocol_error(what);
+        }
+    }
+
+    fn reply(&mut self, key: Key, bytes: &[u8]) {
+        if let Some(client) = self.clients.get_mut(key) {
+            client.reply(bytes);
+        }
+    }
+
     /// Passes an answer on.
     pub fn answer(&mut self, (key, number): (Key, u64), answer: Answer, core: &mut Core, io: &mut Io) {
         let Some(client) = self.clients.get_mut(key) else { return };
         let served = matches!(answer, Answer::Served(_));
         if let Some(id) = client.settle(number, answer_bytes(answer)) {
             self.open.remove(&id);
-            self.tell(Event::Answered { conn: conn(key), served }, io);
+            self.tell(Event::Answered { conn: connection_id(key), served }, io);
         }
         self.touch(key);
         self.account(key, core, io);
@@ -658,52 +504,63 @@
     /// Writes all answers of this round.
     pub fn flush(&mut self, core: &mut Core, io: &mut Io) {
         while let Some(key) = self.dirty.pop() {
-            let Some(client) = self.clients.get_mut(key) else { continue };
-            client.dirty = false;
-            let Ok(unwritten) = client.stream.flush() else {
-                self.gone(key, false, core, io);
-                continue;
-            };
-            if unwritten > 0 {
-                client.stall = client.stall.or(Some((io.now + io.limits.client_stall, unwritten)));
-            } else {
-                client.stall = None;
-                client.used = if client.first > 0 { io.now } else { client.used };
-                client.stream.trim(8 * io.limits.chunk_bytes);
-            }
-            let blocked = std::mem::take(&mut client.blocked);
-            if self.draining && !blocked && client.is_over(io.now, &io.limits) {
-                // What has come behind the last answer is answered too.
-                match client.stream.quiet() {
-                    true => client.phase = Phase::Ending,
-                    false => self.queue(key),
-                }
-            }
-            let Some(client) = self.clients.get_mut(key) else { continue };
-            if unwritten == 0 && client.phase == Phase::Ending && client.pending.is_empty() {
-                // Closing at once would send a reset if more input has come, which destroys answers on their
-                // way: what comes is thrown away until the other side ends too.
-                client.phase = Phase::Lingering;
-                let wait = if self.draining { io.limits.last_linger } else { io.limits.linger };
-                client.linger = io.now + wait;
-                match client.stream.end_sending() {
-                    Ok(()) => {
-                        self.queue(key);
-                        self.tell(Event::Ending(conn(key)), io);
-                    }
-                    Err(_) => self.gone(key, false, core, io),
-                }
-            } else {
-                let rests = client.free();
-                if blocked {
-                    self.queue(key);
-                }
-                if rests {
-                    self.tell(Event::Rested(conn(key)), io);
-                }
+            self.flush_client(key, core, io);
+        }
+    }
+
+    fn flush_client(&mut self, key: Key, core: &mut Core, io: &mut Io) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        client.dirty = false;
+        let Ok(unwritten) = client.stream.flush() else {
+            return self.gone(key, false, core, io);
+        };
+        if unwritten > 0 {
+            client.stall = client.stall.or(Some((io.now + io.limits.client_stall, unwritten)));
+        } else {
+            client.stall = None;
+            client.used = if client.first > 0 { io.now } else { client.used };
+            client.stream.trim(8 * io.limits.chunk_bytes);
+        }
+        let blocked = std::mem::take(&mut client.blocked);
+        if self.draining && !blocked && client.is_over(io.now, &io.limits) {
+            // What has come behind the last answer is answered too.
+            match client.stream.quiet() {
+                true => client.phase = Phase::Ending,
+                false => self.queue(key),
             }
-            self.account(key, core, io);
-            self.arm(key, io);
+        }
+        let Some(client) = self.clients.get_mut(key) else { return };
+        if unwritten == 0 && client.phase == Phase::Ending && client.pending.is_empty() {
+            self.linger(key, core, io);
+        } else {
+            self.after_flush(key, blocked, io);
+        }
+        self.account(key, core, io);
+        self.arm(key, io);
+    }
+
+    /// All is written and no command follows. Closing at once would send a reset if more input has come, which
+    /// destroys answers on their way: what comes is thrown away until the other side ends too.
+    fn linger(&mut self, key: Key, core: &mut Core, io: &mut Io) {
+        let Some(client) = self.clients.get_mut(key) else { return };
+        client.phase = Phase::Lingering;
+        let wait = if self.draining { io.limits.last_linger } else { io.limits.linger };
+        client.linger = io.now + wait;
+        if client.stream.end_sending().is_err() {
+            return self.gone(key, false, core, io);
+        }
+        self.queue(key);
+        self.tell(Event::Ending(connection_id(key)), io);
+    }
+
+    /// Commands that waited for answers to go out are read on; an idle connection is reported to admission.
+    fn after_flush(&mut self, key: Key, was_blocked: bool, io: &mut Io) {
+        let Some(is_idle) = self.clients.get(key).map(Client::is_idle) else { return };
+        if was_blocked {
+            self.queue(key);
+        }
+        if is_idle {
+            self.tell(Event::Rested(connection_id(key)), io);
         }
     }
 
@@ -716,7 +573,7 @@
             true => (io.now + io.limits.client_stall, unwritten),
             false => (at, before),
         });
-        let patience = patience(&self.doors.gate, key, self.draining, &io.limits);
+        let patience = patience(&self.listener.gate, key, self.draining, &io.limits);
         if client.next_due(patience, &io.limits).is_none_or(|at| at > io.now) {
             return self.arm(key, io);
         }
@@ -725,7 +582,7 @@
         if client.phase == Phase::Open && !stalled {
             if client.begun.take().is_some() {
                 client.protocol_error("command not finished in time");
-                self.tell(Event::Wrong(conn(key)), io);
+                self.tell(Event::Wrong(connection_id(key)), io);
                 return self.touch(key);
             }
             // What has just come is still read.
@@ -735,7 +592,7 @@
             if self.draining {
                 return self.touch(key);
             }
-            fault = self.doors.gate.reputation(conn(key), io.now) <= Some(Reputation::Silent);
+            fault = self.listener.gate.reputation(connection_id(key), io.now) <= Some(Reputation::Silent);
         }
         self.gone(key, fault, core, io);
     }
@@ -744,7 +601,7 @@
     /// from now on is refused at once: an answer to it might come later than the end of the process.
     pub fn drain(&mut self, core: &mut Core, io: &mut Io) {
         self.accept(io.limits.backlog.unsigned_abs() as usize, core, io);
-        self.doors.shut(io);
+        self.listener.close(io);
         let keys: Vec<Key> = self.clients.iter().map(|(key, _)| key).collect();
         for key in &keys {
             if let Some(client) = self.clients.get_mut(*key).filter(|c| c.phase == Phase::Lingering) {
@@ -770,77 +627,3 @@
         }
     }
 }
-
-fn read_command(
-    words: &[&[u8]],
-    owner: (Key, u64),
-    terms: &Terms,
-    directory: &Directory,
-    ready: bool,
-) -> Command {
-    let Some(name) = words.first() else { return Command::Wrong("empty command") };
-    if command::is_request(name) {
-        return match request(words, owner, terms, directory) {
-            Ok((ask, id)) => Command::Request(ask, id),
-            Err(wrong) => Command::Wrong(wrong),
-        };
-    }
-    let is = |known: &str| name.eq_ignore_ascii_case(known.as_bytes());
-    if is("PING") {
-        Command::Reply(if ready { "+PONG\r\n" } else { "-LOADING waiting for discovery\r\n" })
-    } else if is("QUIT") {
-        Command::Quit
-    } else if is("CLIENT") || is("SELECT") {
-        Command::Reply("+OK\r\n")
-    } else {
-        Command::Wrong("unknown command")
-    }
-}
-
-/// Holds a request against what the settings know. Guards against figures that would spoil a usual customer's
-/// count, and against passing on what no server takes.
-fn request(
-    words: &[&[u8]],
-    owner: (Key, u64),
-    terms: &Terms,
-    directory: &Directory,
-) -> Result<(Ask, u64), &'static str> {
-    let r = command::request(words, terms.route_field.as_deref())?;
-    let class = terms.classes.iter().position(|c| c.name == r.class).ok_or("unknown class")?;
-    let plan = terms.plans.iter().position(|p| p == r.plan).ok_or("unknown plan")?;
-    let wanted = &terms.classes[class];
-    if wanted.safe != command::is_read(words[0]) {
-        return Err("this class goes with the other command");
-    }
-    if wanted.keyed && r.key.is_none() {
-        return Err("k is missing");
-    }
-    if r.units < 1.0 || r.units > terms.units {
-        return Err("units out of range");
-    }
-    if r.spread < 1 || r.spread > terms.ingresses || r.first >= terms.ingresses {
-        return Err("spread or first out of range");
-    }
-    if r.wait_ms <= 0.0 {
-        return Err("d out of range");
-    }
-    let service = match r.route {
-        Some(route) => directory.service_of_route(route).ok_or("unknown route")?,
-        None => directory.default_service().ok_or("route is missing")?,
-    };
-    let command = Held::new(words, &r);
-    let ask = Ask {
-        service,
-        bytes: command.len(),
-        owner,
-        class,
-        plan,
-        customer: CustomerId(r.customer),
-        units: r.units,
-        spread: r.spread,
-        time_left: Duration::from_secs_f64((r.wait_ms / 1000.0).min(3600.0)),
-        retry: r.retry,
-        command,
-    };
-    Ok((ask, r.id))
-}
--- a/ingress/src/routing/doors.rs
+++ b/ingress/src/routing/listener.rs
@@ -1,4 +1,4 @@
-//! The listener and what admission decides of it: carried out here, decided in [`roseyard_admission`].
+//! The listener: accepts connections as admission allows, which is decided in [`roseyard_admission`].
 
 use super::{Io, Party};
 use crate::transport::{accept, is_fd_shortage, listening_at, spare, Key, Stream};
@@ -9,62 +9,64 @@
 use std::time::Duration;
 
 /// The name of a client's connection to admission.
-pub(super) fn conn(key: Key) -> ConnectionId {
+pub(super) fn connection_id(key: Key) -> ConnectionId {
     ConnectionId(key.pack())
 }
 
-/// What the listener gave.
-pub(super) enum Came {
+/// What came of an accept.
+pub(super) enum Accepted {
+    /// A connection, and its peer.
     Connection(Stream, IpAddr),
     /// Nothing waits, or nothing is to be accepted now.
     Nothing,
     /// No descriptor is left.
     Shortage,
     /// Only this one has failed.
-    Next,
+    Failed,
 }
 
 /// The listener and admission.
-pub(super) struct Doors {
-    listener: Option<OwnedFd>,
+pub(super) struct Listener {
+    /// None once it is closed.
+    socket: Option<OwnedFd>,
     pub gate: Gate,
     /// The listener is not watched until this time.
     paused: Option<Duration>,
     /// Room for what is to be done, kept from event to event.
     actions: Vec<Action>,
-    /// What was told last of [`Gate::counts`] and [`Gate::refused`].
-    told: ([u64; REASONS.len()], u64),
-    /// When that is told again.
-    report: Option<Duration>,
+    /// What was reported last of [`Gate::counts`] and [`Gate::refused`].
+    reported: ([u64; REASONS.len()], u64),
+    /// When that is reported again.
+    report_due: Option<Duration>,
 }
 
-impl Doors {
-    pub fn new(listener: OwnedFd, policy: Policy, secret: u64, io: &mut Io) -> rustix::io::Result<Doors> {
-        io.poller.add_level(&listener, Party::Listener.token())?;
+impl Listener {
+    pub fn new(socket: OwnedFd, policy: Policy, secret: u64, io: &mut Io) -> rustix::io::Result<Listener> {
+        io.poller.add_level(&socket, Party::Listener.token())?;
         // Their number is fixed by their tables: taken for the whole of the process's life.
         for of in [Use::Fixed, Use::Counter, Use::Discovery, Use::Files, Use::Spare, Use::Peers] {
             while io.budget.used(of) < io.budget.share(of).least && io.budget.take(of) {}
         }
-        Ok(Doors {
-            listener: Some(listener),
+        Ok(Listener {
+            socket: Some(socket),
             gate: Gate::new(policy, secret, io.now),
             paused: None,
             actions: Vec::new(),
-            told: Default::default(),
-            report: None,
+            reported: Default::default(),
+            report_due: None,
         })
     }
 
     /// Where it listens.
     pub fn address(&self) -> Option<SocketAddr> {
-        listening_at(self.listener.as_ref()?)
+        listening_at(self.socket.as_ref()?)
     }
 
-    /// Tells admission; what is to be done goes to `act`.
-    pub fn tell(&mut self, event: Event, io: &mut Io, mut act: impl FnMut(Action, &mut Io)) {
+    /// Hands an event to admission; what is to be done goes to `act`.
+    pub fn handle(&mut self, event: Event, io: &mut Io, mut act: impl FnMut(Action, &mut Io)) {
         let mut actions = std::mem::take(&mut self.actions);
         self.gate.handle(io.now, event, &mut actions);
-        self.note(&actions, io);
+        self.schedule_report(&actions, io);
         actions.drain(..).for_each(|action| act(action, io));
         self.actions = actions;
     }
@@ -73,34 +75,34 @@
     pub fn set_policy(&mut self, policy: Policy, io: &mut Io) -> Vec<Action> {
         let mut actions = Vec::new();
         self.gate.set_policy(policy, io.now, &mut actions);
-        self.note(&actions, io);
+        self.schedule_report(&actions, io);
         actions
     }
 
-    /// Sees to it that what was done is told before long.
-    fn note(&mut self, actions: &[Action], io: &mut Io) {
-        if !actions.is_empty() && self.report.is_none() {
+    /// Sees to it that what was done is reported before long.
+    fn schedule_report(&mut self, actions: &[Action], io: &mut Io) {
+        if !actions.is_empty() && self.report_due.is_none() {
             let at = io.now + io.limits.report;
-            io.deadlines.set(&mut self.report, Some(at), Party::Report);
+            io.deadlines.set(&mut self.report_due, Some(at), Party::Report);
         }
     }
 
     /// Takes the next connection that waits, unless nothing is to be accepted just now.
-    pub fn next(&mut self, io: &mut Io) -> Came {
+    pub fn accept(&mut self, io: &mut Io) -> Accepted {
         if let Some(until) = self.gate.pause(io.now) {
             self.pause(until, io);
-            return Came::Nothing;
+            return Accepted::Nothing;
         }
-        let Some(listener) = &self.listener else { return Came::Nothing };
-        match accept(listener, io.limits.chunk_bytes) {
-            Ok((stream, peer)) => Came::Connection(stream, peer),
-            Err(Errno::AGAIN) => Came::Nothing,
-            Err(Errno::INTR | Errno::CONNABORTED) => Came::Next,
-            Err(e) if is_fd_shortage(e) => Came::Shortage,
+        let Some(socket) = &self.socket else { return Accepted::Nothing };
+        match accept(socket, io.limits.chunk_bytes) {
+            Ok((stream, peer)) => Accepted::Connection(stream, peer),
+            Err(Errno::AGAIN) => Accepted::Nothing,
+            Err(Errno::INTR | Errno::CONNABORTED) => Accepted::Failed,
+            Err(e) if is_fd_shortage(e) => Accepted::Shortage,
             Err(e) => {
                 tracing::warn!(event = "clients.accept", why = %e, "clients: accept: {e}");
                 self.pause(io.now + io.limits.accept_again, io);
-                Came::Nothing
+                Accepted::Nothing
             }
         }
     }
@@ -109,7 +111,9 @@
     /// again. Guards against a loop that spins on a listener it has no descriptor to serve.
     pub fn turn_away_one(&mut self, io: &mut Io) {
         io.spare = None;
-        if let Some(Ok((stream, _))) = self.listener.as_ref().map(|l| accept(l, io.limits.chunk_bytes)) {
+        if let Some(Ok((stream, _))) =
+            self.socket.as_ref().map(|socket| accept(socket, io.limits.chunk_bytes))
+        {
             turn_away(stream, self.gate.policy().advice);
         }
         io.spare = spare();
@@ -119,28 +123,28 @@
 
     /// Accepts nothing until then.
     pub fn pause(&mut self, until: Duration, io: &mut Io) {
-        if let Some(listener) = self.listener.as_ref().filter(|_| self.paused.is_none()) {
-            let _ = io.poller.remove(listener);
+        if let Some(socket) = self.socket.as_ref().filter(|_| self.paused.is_none()) {
+            let _ = io.poller.remove(socket);
             io.deadlines.set(&mut self.paused, Some(until), Party::Listener);
         }
     }
 
     /// The pause is over.
-    pub fn go_on(&mut self, io: &mut Io) {
+    pub fn resume(&mut self, io: &mut Io) {
         self.paused = None;
-        if let Some(listener) = &self.listener {
-            let _ = io.poller.add_level(listener, Party::Listener.token());
+        if let Some(socket) = &self.socket {
+            let _ = io.poller.add_level(socket, Party::Listener.token());
         }
     }
 
     /// Nothing is accepted any more. Guards against connections that the system has taken and that would be reset
     /// with the listener: each that could not be taken in is told to come again.
-    pub fn shut(&mut self, io: &mut Io) {
+    pub fn close(&mut self, io: &mut Io) {
         io.deadlines.set(&mut self.paused, None, Party::Listener);
-        let Some(listener) = self.listener.take() else { return };
+        let Some(socket) = self.socket.take() else { return };
         io.spare = None;
         for _ in 0..io.limits.backlog {
-            match accept(&listener, io.limits.chunk_bytes) {
+            match accept(&socket, io.limits.chunk_bytes) {
                 Ok((stream, _)) => turn_away(stream, self.gate.policy().advice),
                 Err(Errno::INTR | Errno::CONNABORTED) => {}
                 Err(_) => break,
@@ -149,14 +153,14 @@
         io.spare = spare();
     }
 
-    /// It is time to tell what was done, each limit for itself.
+    /// It is time to report what was done, each limit for itself.
     pub fn on_report_due(&mut self) {
-        self.report = None;
+        self.report_due = None;
         let (counts, refused) = (self.gate.counts(), self.gate.refused());
-        let (before, refused_before) = std::mem::replace(&mut self.told, (counts, refused));
+        let (before, refused_before) = std::mem::replace(&mut self.reported, (counts, refused));
         let since = |why: Reason| counts[why as usize] - before[why as usize];
-        let told = REASONS.iter().filter(|why| since(**why) > 0);
-        let mut words: Vec<String> = told.map(|why| format!("{} {}", why.as_str(), since(*why))).collect();
+        let changed = REASONS.iter().filter(|why| since(**why) > 0);
+        let mut words: Vec<String> = changed.map(|why| format!("{} {}", why.as_str(), since(*why))).collect();
         if refused > refused_before {
             words.push(format!("refused {}", refused - refused_before));
         }
@@ -167,7 +171,7 @@
 
 /// Tells one that is not taken when to come again, and closes it.
 pub(super) fn turn_away(mut stream: Stream, after: Duration) {
-    stream.output().extend_from_slice(&busy(Some(after)));
+    stream.output().extend_from_slice(&busy_reply(Some(after)));
     // Closing with input unread would send a reset, which destroys the answer on its way.
     let _ = stream.flush();
     let _ = stream.end_sending();
@@ -175,7 +179,7 @@
 }
 
 /// The answer that refuses, with word of when to come again.
-pub(super) fn busy(after: Option<Duration>) -> Vec<u8> {
+pub(super) fn busy_reply(after: Option<Duration>) -> Vec<u8> {
     match after {
         Some(after) => format!("-BUSY {}\r\n", after.as_millis().max(1)).into_bytes(),
         None => b"-BUSY\r\n".to_vec(),
--- a/ingress/src/routing/mod.rs
+++ b/ingress/src/routing/mod.rs
@@ -4,14 +4,17 @@
 //! [`Ask`] and is handed the [`Answer`]. [`front`] is the platform's.
 
 mod attempts;
+mod client;
+mod commands;
 mod core;
 mod counter;
 mod discovery;
-mod doors;
 pub mod front;
+mod listener;
 pub mod members;
 
 pub use self::core::{Answer, Ask, Core, Life, Start};
+pub use commands::{ClassTerms, Terms};
 pub use front::Front;
 
 use crate::limits::Limits;
