--- a/lab/src/scale/report.rs
+++ b/lab/src/scale/report.rs
@@ -128,7 +128,7 @@
 impl std::fmt::Display for Point {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         let short = |value: f64| match value.abs() {
-            v if v == 0.0 => "0".to_owned(),
+            0.0 => "0".to_owned(),
             v if v >= 100.0 => format!("{value:.0}"),
             v if v >= 1.0 => format!("{value:.1}"),
             _ => format!("{value:.4}"),
