--- a/ingress/tests/scale.rs
+++ b/ingress/tests/scale.rs
@@ -20,7 +20,7 @@
         servers_close: false,
         rate: 256.0,
         spread: 1,
-        run: Run { sizes: sizes.to_vec(), seconds, seed: 11, repeats, progress: false },
+        run: Run { sizes: sizes.to_vec(), seconds, seed: 11, repeats, services: true, progress: false },
     }
 }
 
