--- a/ingress/tests/terms.rs
+++ b/ingress/tests/terms.rs
@@ -680,7 +680,14 @@
     let mut running = Running::start_with("54000", &text, Command::new(env!("CARGO_BIN_EXE_roseyard")));
     until_ready(&running);
     let ready = begun.elapsed();
-    line_with(&mut running.log, "rev 42, 54000 servers ready");
+    loop {
+        // Lines of the watch alone.
+        let line = line_with(&mut running.log, "discovery: ");
+        assert!(!line.contains("invalid chunk size"), "the list is refused: {line}");
+        if line.contains("rev 42, 54000 servers ready") {
+            break;
+        }
+    }
     let (held, peak) = (begun.elapsed(), peak_mb(running.child.id()));
     println!("{SERVERS} servers: ready after {ready:?}, list held after {held:?}, peak {peak} MB");
     assert!(ready <= READY, "ready after {ready:?}");
