--- a/lab/src/scale/admission.rs
+++ b/lab/src/scale/admission.rs
@@ -3,7 +3,7 @@
 use super::measure::{resident_bytes, timed};
 use super::report::{Figure, RoleReport};
 use super::Run;
-use roseyard_admission::{Conn, Event, Gate, Policy, Rate};
+use roseyard_admission::{ConnectionId, Event, Gate, Policy, Rate};
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 
@@ -22,7 +22,7 @@
         let before = resident_bytes();
         let mut gate = gate(size);
         memory.push(size, &[resident_bytes().saturating_sub(before) as f64 / f64::from(1 << 20)]);
-        tables.push(size, &[gate.remembered().3 as f64 / f64::from(1 << 20)]);
+        tables.push(size, &[gate.cache_sizes().bytes as f64 / f64::from(1 << 20)]);
         let samples: Vec<f64> = (0..run.repeats as u64).map(|n| decide(&mut gate, size as u64, n)).collect();
         decision.push(size, &samples);
         held.push(gate);
@@ -49,13 +49,17 @@
     };
     let (mut gate, mut out) = (Gate::new(policy, 7, Duration::ZERO), Vec::new());
     for number in 0..addresses as u64 {
-        let conn = Conn(number << 32);
+        let conn = ConnectionId(number << 32);
         gate.handle(Duration::ZERO, Event::Connected { conn, peer: peer(number) }, &mut out);
         gate.handle(Duration::ZERO, Event::Closed { conn, fault: false }, &mut out);
         out.clear();
     }
     for number in 0..OPEN as u64 {
-        gate.handle(Duration::ZERO, Event::Connected { conn: Conn(number), peer: peer(number) }, &mut out);
+        gate.handle(
+            Duration::ZERO,
+            Event::Connected { conn: ConnectionId(number), peer: peer(number) },
+            &mut out,
+        );
     }
     gate
 }
@@ -67,7 +71,7 @@
             let serial = round * DECISIONS + n + 1;
             let now = Duration::from_millis(20 * serial);
             // Slots are used in turn: the next one is the longest rested.
-            let conn = Conn((serial << 32) + serial % OPEN as u64 + OPEN as u64);
+            let conn = ConnectionId((serial << 32) + serial % OPEN as u64 + OPEN as u64);
             gate.handle(now, Event::Connected { conn, peer: peer(serial % addresses) }, &mut out);
             gate.handle(now, Event::Closed { conn, fault: false }, &mut out);
             out.clear();
--- a/lab/src/scale/membership.rs
+++ b/lab/src/scale/membership.rs
@@ -5,7 +5,7 @@
 use super::report::{Figure, RoleReport};
 use super::{targets, Run};
 use roseyard_membership::{
-    wire, Action, Event, Facts, Guard, Key, Name, Record, Settings, Stage, Status, Swim,
+    wire, Action, Event, Guard, Key, Metadata, Name, Received, Record, Settings, Stage, Status, Swim,
 };
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -17,7 +17,7 @@
 const ENOUGH: Duration = Duration::from_secs(60);
 const FLIGHT: Duration = Duration::from_millis(2);
 const PORT: u16 = 7946;
-const LIFE: u64 = 1_700_000_000_000;
+const GENERATION: u64 = 1_700_000_000_000;
 /// Regions lose each other for so long.
 const SPLIT_LASTS: Duration = Duration::from_secs(300);
 /// A zone's share of the ingresses.
@@ -93,7 +93,7 @@
         zone_peak.push(size, &[cost.peak]);
         zone_agreed.push(size, cost.agreed_after.as_slice());
     }
-    let most = Settings::new(targets::INGRESSES).most;
+    let most = Settings::new(targets::INGRESSES).max_members;
     notes.push(format!("the program remembers {most} members at most; here as many as there are"));
     let whole = [fleet_cost, fleet_bytes, join_bytes, split_peak, split_heals, zone_peak, zone_agreed];
     let figures = whole.into_iter().chain([rest, word, join, join_one]).collect();
@@ -113,14 +113,18 @@
     (at.ip().to_bits() - 0x7f01_0000) as usize
 }
 
-fn record(number: usize, life: u64) -> Record {
-    let facts = Facts { stage: Stage::Serving, ..Facts::default() };
+fn record(number: usize, generation: u64) -> Record {
+    let metadata = Metadata { stage: Stage::Serving, ..Metadata::default() };
     let (name, address, status) = (name(number), address(number), Status::Alive);
-    Record { name, address, life, round: 0, status, version: 0, facts }
+    Record { name, address, generation, incarnation: 0, status, metadata_version: 0, metadata }
 }
 
 fn settings(members: usize) -> Settings {
-    Settings { most: members.max(1024), seeds: (0..3).map(address).collect(), ..Settings::new(members) }
+    Settings {
+        max_members: members.max(1024),
+        seeds: (0..3).map(address).collect(),
+        ..Settings::new(members)
+    }
 }
 
 fn guard(number: usize, members: usize) -> Guard {
@@ -128,8 +132,8 @@
 }
 
 fn swim(number: usize, members: usize, seed: u64) -> Swim {
-    let me = record(number, LIFE);
-    Swim::new(settings(members), me.name, me.address, me.life, me.facts, seed)
+    let me = record(number, GENERATION);
+    Swim::new(settings(members), me.name, me.address, me.generation, me.metadata, seed)
 }
 
 /// One datagram on its way.
@@ -187,7 +191,7 @@
         swim.handle(self.now, event, &mut actions);
         for action in actions {
             let Action::Send { to, body } = action else { continue };
-            let bytes = guard.seal(swim.me().life, &body);
+            let bytes = guard.seal(swim.local().generation, &body);
             (self.sent, self.bytes) = (self.sent + 1, self.bytes + bytes.len() as u64);
             let datagram = Datagram { to: number_at(to), from: number, bytes };
             self.under_way.insert((self.now + FLIGHT, self.sent), datagram);
@@ -250,8 +254,8 @@
     fn agrees(&self) -> bool {
         let alive =
             || self.members.iter().zip(&self.dead).filter(|(_, dead)| !**dead).map(|((swim, _), _)| swim);
-        let (sum, seen) = (alive().next().map(Swim::sum), alive().count());
-        alive().all(|swim| Some(swim.sum()) == sum && swim.quorum().seen == seen)
+        let (sum, seen) = (alive().next().map(Swim::digest), alive().count());
+        alive().all(|swim| Some(swim.digest()) == sum && swim.quorum().seen == seen)
     }
 
     /// Goes on for a second: bytes of a member in it, in and out.
@@ -298,8 +302,9 @@
 
 fn heard(guard: &mut Guard, datagram: &Datagram) -> Option<Event> {
     let opened = guard.open(&datagram.bytes).ok()?;
-    let (message, news) = wire::read(opened.body)?;
-    Some(Event::Heard { at: address(datagram.from), from: opened.from, life: opened.life, message, news })
+    let (message, updates) = wire::read(opened.body)?;
+    let (source, sender, generation) = (address(datagram.from), opened.sender, opened.generation);
+    Some(Event::Received(Received { source, sender, generation, message, updates }))
 }
 
 /// One real member whose pings are answered by peers that are made up.
@@ -330,10 +335,10 @@
         self.tell(Event::Due);
         while next < members {
             let mut body = wire::Body::new(&wire::Message::Page(Name::new()));
-            while next < members && body.add(&record(next, LIFE)) {
+            while next < members && body.add(&record(next, GENERATION)) {
                 next += 1;
             }
-            let sealed = self.peers[1].seal(LIFE, &body.bytes());
+            let sealed = self.peers[1].seal(GENERATION, &body.bytes());
             bytes += sealed.len();
             let (_, took) = timed(|| self.deliver(&Datagram { to: 0, from: 1, bytes: sealed }));
             spent += took;
@@ -352,12 +357,12 @@
         self.swim.handle(self.now, event, &mut actions);
         for action in actions {
             let Action::Send { to, body } = action else { continue };
-            let sealed = self.guard.seal(LIFE, &body);
+            let sealed = self.guard.seal(GENERATION, &body);
             let Some((wire::Message::Ping(number), _)) = wire::read(&body) else { continue };
             std::hint::black_box(sealed);
             let from = number_at(to);
             let answer = wire::Body::new(&wire::Message::Ack(number)).bytes();
-            let bytes = self.peers[from].seal(LIFE, &answer);
+            let bytes = self.peers[from].seal(GENERATION, &answer);
             self.serial += 1;
             self.answers.insert((self.now + FLIGHT, self.serial), Datagram { to: 0, from, bytes });
         }
@@ -381,7 +386,7 @@
                 self.serial += 1;
                 let from = 1 + self.serial as usize % (self.peers.len() - 1).max(1);
                 let body = wire::Body::new(&wire::Message::Ping(self.serial as u32)).bytes();
-                let bytes = self.peers[from].seal(LIFE, &body);
+                let bytes = self.peers[from].seal(GENERATION, &body);
                 self.deliver(&Datagram { to: 0, from, bytes });
             } else {
                 self.tell(Event::Due);
@@ -395,8 +400,8 @@
         for n in 0..WORDS {
             let about = 2 + (round * WORDS + n) % members.saturating_sub(2).max(1);
             let mut body = wire::Body::new(&wire::Message::Gossip);
-            let _ = body.add(&record(about, LIFE + 1 + (round * WORDS + n) as u64));
-            let bytes = self.peers[1].seal(LIFE, &body.bytes());
+            let _ = body.add(&record(about, GENERATION + 1 + (round * WORDS + n) as u64));
+            let bytes = self.peers[1].seal(GENERATION, &body.bytes());
             let (_, took) = timed(|| self.deliver(&Datagram { to: 0, from: 1, bytes }));
             spent += took;
         }
