--- a/lab/src/scale/membership.rs
+++ b/lab/src/scale/membership.rs
@@ -17,7 +17,7 @@
 const ENOUGH: Duration = Duration::from_secs(60);
 const FLIGHT: Duration = Duration::from_millis(2);
 const PORT: u16 = 7946;
-const LIFE: u64 = 1_700_000_000_000;
+const GENERATION: u64 = 1_700_000_000_000;
 /// Regions lose each other for so long.
 const SPLIT_LASTS: Duration = Duration::from_secs(300);
 /// A zone's share of the ingresses.
@@ -116,8 +116,7 @@
 fn record(number: usize, generation: u64) -> Record {
     let metadata = Metadata { stage: Stage::Serving, ..Metadata::default() };
     let (name, address, status) = (name(number), address(number), Status::Alive);
-    let (incarnation, metadata_version) = (0, 0);
-    Record { name, address, generation, incarnation, status, metadata_version, metadata }
+    Record { name, address, generation, incarnation: 0, status, metadata_version: 0, metadata }
 }
 
 fn settings(members: usize) -> Settings {
@@ -133,7 +132,7 @@
 }
 
 fn swim(number: usize, members: usize, seed: u64) -> Swim {
-    let me = record(number, LIFE);
+    let me = record(number, GENERATION);
     Swim::new(settings(members), me.name, me.address, me.generation, me.metadata, seed)
 }
 
@@ -255,8 +254,8 @@
     fn agrees(&self) -> bool {
         let alive =
             || self.members.iter().zip(&self.dead).filter(|(_, dead)| !**dead).map(|((swim, _), _)| swim);
-        let (digest, seen) = (alive().next().map(Swim::digest), alive().count());
-        alive().all(|swim| Some(swim.digest()) == digest && swim.quorum().seen == seen)
+        let (sum, seen) = (alive().next().map(Swim::digest), alive().count());
+        alive().all(|swim| Some(swim.digest()) == sum && swim.quorum().seen == seen)
     }
 
     /// Goes on for a second: bytes of a member in it, in and out.
@@ -336,10 +335,10 @@
         self.tell(Event::Due);
         while next < members {
             let mut body = wire::Body::new(&wire::Message::Page(Name::new()));
-            while next < members && body.add(&record(next, LIFE)) {
+            while next < members && body.add(&record(next, GENERATION)) {
                 next += 1;
             }
-            let sealed = self.peers[1].seal(LIFE, &body.bytes());
+            let sealed = self.peers[1].seal(GENERATION, &body.bytes());
             bytes += sealed.len();
             let (_, took) = timed(|| self.deliver(&Datagram { to: 0, from: 1, bytes: sealed }));
             spent += took;
@@ -358,12 +357,12 @@
         self.swim.handle(self.now, event, &mut actions);
         for action in actions {
             let Action::Send { to, body } = action else { continue };
-            let sealed = self.guard.seal(LIFE, &body);
+            let sealed = self.guard.seal(GENERATION, &body);
             let Some((wire::Message::Ping(number), _)) = wire::read(&body) else { continue };
             std::hint::black_box(sealed);
             let from = number_at(to);
             let answer = wire::Body::new(&wire::Message::Ack(number)).bytes();
-            let bytes = self.peers[from].seal(LIFE, &answer);
+            let bytes = self.peers[from].seal(GENERATION, &answer);
             self.serial += 1;
             self.answers.insert((self.now + FLIGHT, self.serial), Datagram { to: 0, from, bytes });
         }
@@ -387,7 +386,7 @@
                 self.serial += 1;
                 let from = 1 + self.serial as usize % (self.peers.len() - 1).max(1);
                 let body = wire::Body::new(&wire::Message::Ping(self.serial as u32)).bytes();
-                let bytes = self.peers[from].seal(LIFE, &body);
+                let bytes = self.peers[from].seal(GENERATION, &body);
                 self.deliver(&Datagram { to: 0, from, bytes });
             } else {
                 self.tell(Event::Due);
@@ -401,8 +400,8 @@
         for n in 0..WORDS {
             let about = 2 + (round * WORDS + n) % members.saturating_sub(2).max(1);
             let mut body = wire::Body::new(&wire::Message::Gossip);
-            let _ = body.add(&record(about, LIFE + 1 + (round * WORDS + n) as u64));
-            let bytes = self.peers[1].seal(LIFE, &body.bytes());
+            let _ = body.add(&record(about, GENERATION + 1 + (round * WORDS + n) as u64));
+            let bytes = self.peers[1].seal(GENERATION, &body.bytes());
             let (_, took) = timed(|| self.deliver(&Datagram { to: 0, from: 1, bytes }));
             spent += took;
         }
