Test: the engine's tests share their settings

Cause: the tests of services wrote the settings of model.rs again. Change: engine/tests/common/mod.rs holds them, and the tests of services name what differs. No assertion is changed.

--- a/engine/tests/services.rs
+++ b/engine/tests/services.rs
@@ -1,5 +1,8 @@
 //! Services in the engine: routes and servers that move while requests are out, each at the cost of itself.
 
+mod common;
+
+use common::{class, ms};
 use roseyard::*;
 use roseyard_engine::*;
 use std::sync::Arc;
@@ -10,54 +13,18 @@
 const START: Duration = Duration::from_secs(86_400);
 const BOUNDS: DirectoryBounds = DirectoryBounds { services: 100_000, routes: 100_000 };
 
-fn ms(n: u64) -> Duration {
-    Duration::from_millis(n)
-}
-
+/// One class that must not run twice, one plan without a quota, and no counter.
 fn settings() -> Settings {
+    let base = common::settings();
+    let plan = Plan { rate: 0.0, burst: 0.0, ..base.plans[0].clone() };
     Settings {
         gateways: 1,
-        number: 0,
-        zone: 0,
-        tick: ms(1),
-        classes: vec![Class {
-            aim: ms(1000),
-            aim_stretch: 0.0,
-            deadline: ms(4000),
-            worth: 1.0,
-            late_worth: 0.1,
-            effect: Effect::Unsafe,
-            streamed: false,
-        }],
-        plans: vec![Plan {
-            rate: 0.0,
-            burst: 0.0,
-            max_open: 0,
-            ceiling_rate: 0.0,
-            ceiling_burst: 0.0,
-            ceiling_slack: 0.0,
-            price: 1.0,
-            excess_worth: 0.0,
-            excess_cost: 1.0,
-        }],
+        classes: vec![class(Effect::Unsafe)],
+        plans: vec![plan],
         counter: None,
         reports_on_probe: false,
-        discovery: Discovery::Push,
-        limits: Limits {
-            max_attempts: 4,
-            cancel: true,
-            duplicates: false,
-            probes: false,
-            retry_advice: true,
-            max_retry_advice: ms(1000),
-        },
-        guarantees: Guarantees {
-            cold_share: 0.3,
-            warm_within: ms(10_000),
-            tip_multiple: 2.0,
-            tip_after: ms(2000),
-            drain_grace: ms(2000),
-        },
+        limits: Limits { duplicates: false, probes: false, ..base.limits },
+        ..base
     }
 }
 
