Lab: say once whether servers are divided, and once what costs alike

Cause: the daemon's options held 'services' beside the run's own, and three tests of scale wrote one assertion each. Change: the run's is used; the assertion, with its bound of 4, is one function.

--- a/ingress/tests/scale.rs
+++ b/ingress/tests/scale.rs
@@ -13,7 +13,6 @@
     Options {
         daemon: env!("CARGO_BIN_EXE_roseyard").into(),
         before: None,
-        services: true,
         all_tenants: false,
         counter: true,
         probes: true,
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -61,7 +61,8 @@
     /// With '--role daemon': an earlier version of it, measured in turn with the other.
     #[arg(long)]
     daemon_before: Option<PathBuf>,
-    /// Divide the servers into services, 3,200 of them at full size; with the roles decision, list, quotas and events.
+    /// Divide the servers into services, 3,200 of them at full size; with the roles decision, list,
+    /// quotas, events and daemon.
     /// With '--role daemon': measure that too. '--role all' plays both.
     #[arg(long)]
     services: bool,
@@ -215,7 +216,6 @@
     Ok(scale::daemon::Options {
         daemon: beside(args.daemon.as_deref())?,
         before: args.daemon_before.as_deref().map(|path| beside(Some(path))).transpose()?,
-        services: args.services,
         all_tenants: args.all_tenants,
         counter: !args.without_counter,
         probes: !args.without_probes,
--- a/lab/src/scale/daemon.rs
+++ b/lab/src/scale/daemon.rs
@@ -64,8 +64,6 @@
     pub daemon: PathBuf,
     /// An earlier version of it, measured in turn with the other.
     pub before: Option<PathBuf>,
-    /// Does the program know services, and are servers divided into them too?
-    pub services: bool,
     /// Are all tenants played at the greatest size too?
     pub all_tenants: bool,
     /// Does the daemon have a shared counter?
@@ -78,7 +76,8 @@
     pub rate: f64,
     /// Ingresses through which each tenant's requests come: 1 needs no shared counter.
     pub spread: u32,
-    /// Sizes in servers, seconds of load, repeats, and the seed for times, tenants and services.
+    /// Sizes in servers, real seconds of load, repeats, whether servers are divided into services too, and the seed
+    /// for times, tenants and services.
     pub run: Run,
 }
 
@@ -262,7 +261,7 @@
         for &before in &versions {
             cases.push(Case { before, division: Division::Unnamed, servers, tenants });
         }
-        if options.services {
+        if options.run.services {
             cases.push(Case { before: false, division: Division::LongTail, servers, tenants });
         }
     };
--- a/lab/tests/scale.rs
+++ b/lab/tests/scale.rs
@@ -41,6 +41,12 @@
     (0..5).map(|_| work().as_secs_f64()).fold(f64::MAX, f64::min)
 }
 
+/// What is measured costs as much among many servers as among few.
+fn assert_alike(cost: impl Fn(usize) -> f64) {
+    let growth = cost(MANY) / cost(FEW);
+    assert!(growth < 4.0, "{growth:.1} times as much with {MANY} servers as with {FEW}: a walk is 318");
+}
+
 #[test]
 fn a_request_costs_what_its_service_does_not_what_all_servers_do() {
     let cost = |servers| {
@@ -49,12 +55,7 @@
         hollow.run(Duration::from_secs(1), Some(load), &mut world);
         least(|| timed(|| hollow.run(hollow.now() + Duration::from_secs(1), Some(load), &mut world)).1)
     };
-    let (few, many) = (cost(FEW), cost(MANY));
-    assert!(
-        many / few < 4.0,
-        "{:.1} times as much with {MANY} servers as with {FEW}: a walk is 318",
-        many / few
-    );
+    assert_alike(cost);
 }
 
 #[test]
@@ -76,12 +77,7 @@
             spent
         })
     };
-    let (few, many) = (cost(FEW), cost(MANY));
-    assert!(
-        many / few < 4.0,
-        "{:.1} times as much with {MANY} servers as with {FEW}: a walk is 318",
-        many / few
-    );
+    assert_alike(cost);
 }
 
 #[test]
@@ -94,12 +90,7 @@
         hollow.run(Duration::from_secs(5), None, &mut world);
         least(|| timed(|| hollow.run(hollow.now() + Duration::from_secs(20), None, &mut world)).1)
     };
-    let (few, many) = (cost(FEW), cost(MANY));
-    assert!(
-        many / few < 4.0,
-        "{:.1} times as much with {MANY} servers as with {FEW}: a walk is 318",
-        many / few
-    );
+    assert_alike(cost);
 }
 
 #[test]
