Engine: one bound for names of services, routes and servers

Cause: the operator's file and the reader of requests each held 128 bytes. Change: the engine's directory holds the bound, both use it.

--- a/engine/src/directory.rs
+++ b/engine/src/directory.rs
@@ -14,6 +14,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// Longest name of a service, of a route, and of a server, in bytes: the operator's file holds none that is longer, and
+/// no request is looked up by one.
+pub const MOST_NAME_BYTES: usize = 128;
+
 /// The service of a [`Directory::single`]; a named service never has this id.
 pub const SINGLE_SERVICE: ServiceId = ServiceId(0);
 
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use directory::{
     Directory, DirectoryBounds, DirectoryChange, DirectoryEffect, DirectoryError, ServerSelector,
-    SINGLE_SERVICE,
+    MOST_NAME_BYTES, SINGLE_SERVICE,
 };
 pub use engine::{Answer, Ask, Bounds, End, Engine, Full, Output};
 pub use fleet::{Change, Fleet, Reading, Server};
--- a/ingress/src/protocol/command.rs
+++ b/ingress/src/protocol/command.rs
@@ -1,6 +1,7 @@
 //! The platform's requests: `API.READ` and `API.WRITE`.
 
 use super::resp::{decimal, put_array, put_bulk, put_bulk_of};
+use roseyard_engine::MOST_NAME_BYTES;
 
 /// A request as a client words it; every field is there and can be read.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,9 +32,6 @@
     deadline: (usize, usize),
 }
 
-/// Longest route of a request, in bytes.
-const MOST_ROUTE_BYTES: usize = 128;
-
 /// What is wrong with a request; framing is intact.
 pub type Wrong = &'static str;
 
@@ -86,7 +84,7 @@
         let (name, value) = item.split_once('=').ok_or("expected name=value")?;
         let whole = || value.parse::<u32>().ok().filter(|_| value.bytes().all(|b| b.is_ascii_digit()));
         if route_field == Some(name) {
-            let bounded = (1..=MOST_ROUTE_BYTES).contains(&value.len());
+            let bounded = (1..=MOST_NAME_BYTES).contains(&value.len());
             put(&mut route, Some(value).filter(|_| bounded), "invalid route")?;
         }
         match name {
--- a/operator/src/services.rs
+++ b/operator/src/services.rs
@@ -6,7 +6,9 @@
 use ipnet::IpNet;
 use kdl::{KdlEntry, KdlNode};
 use miette::{NamedSource, SourceSpan};
-use roseyard_engine::{Directory, DirectoryBounds, DirectoryChange, DirectoryError, ServerSelector};
+use roseyard_engine::{
+    Directory, DirectoryBounds, DirectoryChange, DirectoryError, ServerSelector, MOST_NAME_BYTES,
+};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
@@ -21,8 +23,6 @@
 const MOST_SERVICES: u64 = 65_536;
 /// Most routes.
 const MOST_ROUTES: usize = 65_536;
-/// Longest name of a service, of a route, and of a server, in bytes.
-pub const MOST_NAME_BYTES: usize = 128;
 /// Longest name of the field that carries the route, in bytes.
 const MOST_FIELD_BYTES: usize = 32;
 /// So many mistakes are told one by one; those beyond are counted.
