Test: the descriptors that are lent to the test do not hang on what it inherited

Reproduced each time by starting the test with inherited descriptors closed. Change: the limit is set eight above the highest, and the test asserts that it holds as many; the ingress still has none.

--- a/ingress/tests/descriptor_shortage.rs
+++ b/ingress/tests/descriptor_shortage.rs
@@ -9,6 +9,9 @@
 use std::fs::File;
 use std::time::Duration;
 
+/// So many descriptors are there to be lent to the test itself, which keeps one for each connection that it accepts.
+const LENT: usize = 8;
+
 /// No descriptor is left to this process while this lives, but for those that are lent.
 struct Shortage {
     before: Rlimit,
@@ -20,9 +23,12 @@
         let before = getrlimit(Resource::Nofile);
         let open = std::fs::read_dir("/proc/self/fd").unwrap();
         let highest = open.map(|e| e.unwrap().file_name().to_str().unwrap().parse::<u64>().unwrap()).max();
-        let current = Some(highest.unwrap() + 1);
+        // Whatever number of gaps the process has inherited below the highest descriptor.
+        let current = Some(highest.unwrap() + 1 + LENT as u64);
         setrlimit(Resource::Nofile, Rlimit { current, maximum: before.maximum }).unwrap();
-        Shortage { before, held: std::iter::from_fn(|| File::open("/dev/null").ok()).collect() }
+        let held: Vec<File> = std::iter::from_fn(|| File::open("/dev/null").ok()).collect();
+        assert!(held.len() >= LENT, "only {} descriptors to lend", held.len());
+        Shortage { before, held }
     }
 
     /// One is free for what the test itself does; the ingress never has it.
