Module: one moving average and one held draw where each stood twice; a server keeps its entry

Cause: the average of samples that come at irregular times (load reports, lateness) and the random number that holds for a while (cold budgets, load bound) were each written out twice, and a server's state copied its entry field by field. Change: average.rs and draw.rs hold the two; the server's state holds the entry. No rule changes: the same arithmetic in the same order of draws.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,7 +31,8 @@
         let top = self.settings.classes.iter().zip(&self.means).map(density).fold(EPS, f64::max);
         let mine = density((&self.settings.classes[class], &self.means[class])) / top;
         // Old lateness fades: a gateway that is seldom asked would go on refusing its few.
-        let lateness = self.flow.lateness * ((self.flow.late_at + 1.0 - t).min(0.0) / LATE_TAU).exp();
+        let lateness =
+            self.flow.lateness.value * ((self.flow.lateness.at + 1.0 - t).min(0.0) / LATE_TAU).exp();
         let share = LOAD_OF_AIM * mine.max(LEAST_CLASS);
         let floor = LEAST_OUT * live().count() as f64 / f64::from(self.settings.gateways);
         let floor = if self.flow.peak > 0.0 { floor } else { 1.5 * floor };
@@ -49,7 +50,7 @@
     /// Is one request here, and no more out in all than this gateway's part of what all servers bear idle?
     pub fn is_alone(&self, cx: &Context) -> bool {
         let part = LEAST_OUT * cx.servers as f64 / f64::from(self.settings.gateways);
-        self.requests.len() == 1 && cx.requests as f64 - 1.0 + self.flow.draw <= part
+        self.requests.len() == 1 && cx.requests as f64 - 1.0 + self.flow.draw.value <= part
     }
 
     /// The share of what is out at servers that this gateway does not see.
@@ -70,8 +71,8 @@
         };
         let same = self.servers.get(&first.server).is_some_and(|s| match group {
             DedupGroup::All => true,
-            DedupGroup::Zone => s.zone == server.zone,
-            DedupGroup::Cell => s.cell == server.cell,
+            DedupGroup::Zone => s.entry.zone == server.entry.zone,
+            DedupGroup::Cell => s.entry.cell == server.entry.cell,
         });
         same && self.repeatable(r, 2.0, t)
     }
@@ -96,7 +97,7 @@
     /// The share of its capacity that a server surely has by its age.
     fn warmth(&self, s: &Server, t: f64) -> f64 {
         let g = &self.settings.guarantees;
-        let age = s.started.map_or(f64::MAX, |at| (t - at).max(0.0));
+        let age = s.entry.started_at.map_or(f64::MAX, |at| (t - secs(at)).max(0.0));
         (g.cold_share + (1.0 - g.cold_share) * age / secs(g.warm_within).max(EPS)).min(1.0)
     }
 
@@ -127,8 +128,8 @@
         let eject = self.ejects();
         let fault_tau = self.fault_tau();
         let unseen = self.unseen();
-        let fading = |s: &Server| (s.load, ((s.reported - t) / REPORT_TAU).exp());
-        let reports = self.servers.values().filter(|s| s.ready && s.reported > 0.0).map(fading);
+        let fading = |s: &Server| (s.load.value, ((s.load.at - t) / REPORT_TAU).exp());
+        let reports = self.servers.values().filter(|s| s.ready && s.load.at > 0.0).map(fading);
         let (sum, weights) = reports.fold((0.0, EPS), |(a, b), (load, w)| (a + load * w, b + w));
         let usual = sum / weights;
         let mut best: Option<(bool, f64, ServerId)> = None;
@@ -144,15 +145,15 @@
             // A fraction is drawn: hundreds of ones push a cold server over.
             let warmth = self.warmth(s, t);
             let most = warmth * share * reach(s);
-            if warmth < 1.0 && s.sends.len() as f64 + s.draw >= most {
+            if warmth < 1.0 && s.sends.len() as f64 + s.draw.value >= most {
                 continue;
             }
             let faults = FAULT_LOAD * s.faults * (-(t - s.fault_at) / fault_tau).exp();
             let (load, weight) = fading(s);
             let load = usual + (load - usual) * weight;
             let work = 1.0 + s.out.len() as f64 + REPORT_WEIGHT * load + faults;
-            let size = s.weight * warmth * reach(s);
-            let cross = if s.zone == self.settings.zone { 1.0 } else { 1.02 };
+            let size = s.entry.weight * warmth * reach(s);
+            let cross = if s.entry.zone == self.settings.zone { 1.0 } else { 1.02 };
             let score = work * s.slowness / size * cross * (1.0 + 0.02 * self.rng.f64());
             // Few gateways know nearly all that is out and go by it. Of many each sees next to nothing: all
             // would hold the same large servers best. The least of exponential draws falls to each by its
@@ -193,8 +194,8 @@
             return;
         }
         let mut ring: Vec<_> = self.servers.values_mut().filter(|s| s.ready).collect();
-        ring.sort_by_key(|s| s.rank);
-        let sizes: Vec<f64> = ring.iter().map(|s| s.weight).collect();
+        ring.sort_by_key(|s| s.entry.rank);
+        let sizes: Vec<f64> = ring.iter().map(|s| s.entry.weight).collect();
         let parts = aperture::parts(self.settings.number, self.settings.gateways, &sizes);
         ring.iter_mut().zip(parts).for_each(|(s, part)| s.part = part);
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// A server process, as named by discovery.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u32);
 
 /// A service: the servers that answer one kind of request.
@@ -220,18 +220,19 @@
 }
 
 /// State of a server in a list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ServerState {
     /// Takes work.
     Ready,
     /// Finishes its work; takes nothing new.
     Draining,
     /// Removed.
+    #[default]
     Gone,
 }
 
 /// One line of the list of servers.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServerEntry {
     /// The server.
     pub server: ServerId,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,7 +41,9 @@
 
 mod alarms;
 mod aperture;
+mod average;
 mod choice;
+mod draw;
 mod gateway;
 mod interface;
 mod ledgers;
--- a/src/service.rs
+++ b/src/service.rs
@@ -1,7 +1,9 @@
 //! One service: its requests from their coming to their answer, and its servers by what their answers tell.
 
 use crate::alarms::{dur, secs, Alarms};
+use crate::average::Average;
 use crate::choice::LOAD_OF_AIM;
+use crate::draw::Draw;
 use crate::gateway::Context;
 use crate::interface::*;
 use crate::quota::{Verdict, EPS};
@@ -54,19 +56,14 @@
 
 #[derive(Default)]
 pub(crate) struct Server {
-    pub zone: u16,
-    pub cell: u16,
+    pub entry: ServerEntry,
     pub ready: bool,
-    pub weight: f64,
-    pub rank: u64,
     pub part: f64, // Of it, that lies in this gateway's aperture.
-    pub started: Option<f64>,
     pub out: BTreeMap<(RequestId, u16), (f64, usize)>, // Attempts out: (request, attempt) to (sent, class).
     pub heard: f64,
     pub slowness: f64, // Answer time relative to the fleet's for the same class.
     pub answers: f64,
-    pub load: f64,
-    pub reported: f64,
+    pub load: Average, // As its reports tell it.
     pub breaker: Breaker,
     pub faults: f64, // Failures that came back at once, fading.
     pub fault_at: f64,
@@ -75,8 +72,7 @@
     pub probed: f64,
     /// Sends within the cold budget's span, newest last, and the span's draw for what is left of one.
     pub sends: VecDeque<f64>,
-    pub draw: f64,
-    pub drawn: f64,
+    pub draw: Draw,
 }
 
 /// What the answers of a service tell, and the budgets that requests earn for further attempts and probes.
@@ -85,14 +81,12 @@
     pub rate: f64, // Aims answered a second (each answer counts its class's), the peak remembered, and when.
     pub peak: f64,
     pub at: f64,
-    pub lateness: f64, // Mean answer time as a share of the aim, and when last told.
-    pub late_at: f64,
+    pub lateness: Average, // Answer time as a share of the aim.
     pub answers: f64,
     pub retries: f64,
     pub refusing: f64, // Share of the openings that were refused, and when a refusing server is tried again.
     pub half_open: f64,
-    pub draw: f64, // The draw for what is left of one in the load bound, and when drawn.
-    pub drawn: f64,
+    pub draw: Draw, // For what is left of one in the load bound.
     pub probes: f64,
 }
 
@@ -136,8 +130,8 @@
 impl Service {
     pub fn new(settings: &Arc<Settings>, seed: u64, t: f64) -> Service {
         // Not quick until answers say so: at the start all gateways would fill the servers at once.
-        let flow =
-            Flow { lateness: LOAD_OF_AIM, late_at: t, at: t, retries: 1.0, probes: 1.0, ..Flow::default() };
+        let lateness = Average { value: LOAD_OF_AIM, at: t };
+        let flow = Flow { lateness, at: t, retries: 1.0, probes: 1.0, ..Flow::default() };
         Service {
             settings: Arc::clone(settings),
             rng: fastrand::Rng::with_seed(seed),
@@ -195,10 +189,8 @@
         }
         let best = self.pick(id, cx.t);
         // Drawn once for a few answers: drawn for each try, all gateways would fill up to the next one.
-        if cx.t >= self.flow.drawn + PATIENCE * self.means[class] {
-            (self.flow.draw, self.flow.drawn) = (self.rng.f64(), cx.t);
-        }
-        let overloaded = self.overloaded(class, self.flow.draw, cx.t) && !self.is_alone(cx);
+        self.flow.draw.renew(cx.t, PATIENCE * self.means[class], &mut self.rng);
+        let overloaded = self.overloaded(class, self.flow.draw.value, cx.t) && !self.is_alone(cx);
         let Some(ledger) = cx.quotas.ledgers.get_mut(customer).filter(|_| room) else {
             return self.refuse(id, cx);
         };
@@ -354,7 +346,7 @@
         if cx.t + self.means[class] >= r.end {
             return;
         }
-        let busy = self.flow.lateness > COPY_LOAD * LOAD_OF_AIM || self.overloaded(class, 1.0, cx.t);
+        let busy = self.flow.lateness.value > COPY_LOAD * LOAD_OF_AIM || self.overloaded(class, 1.0, cx.t);
         let may = self.flow.retries >= 1.0 && (silent || !busy);
         let limits = &self.settings.limits;
         let movable = silent && limits.cancel && self.repeatable(r, 4.0, cx.t);
@@ -403,10 +395,7 @@
         let aim = secs(self.settings.classes[class].aim);
         let stalled = t - took < resumed;
         if matches!(outcome, Outcome::Ok | Outcome::Timeout) && !(s.silent && eject) && !stalled {
-            let dt = t - self.flow.late_at;
-            let weight = (1.0 - (-dt / LATE_TAU).exp()).clamp(1.0 / ANSWERS_AVERAGED, 0.25);
-            self.flow.late_at = t;
-            self.flow.lateness += (took / aim - self.flow.lateness) * weight;
+            self.flow.lateness.add(took / aim, t, LATE_TAU, (1.0 / ANSWERS_AVERAGED, 0.25));
         }
         if outcome == Outcome::Ok {
             if !stalled {
@@ -431,9 +420,7 @@
         let held = good(load.in_flight).or(good(load.queued)).unwrap_or(0.0);
         // Single reports are stale: gateways that follow them run from server to server together. Their mean
         // tells a server that is slow or short of cores for all of us. Where they come seldom each counts.
-        let weight = (1.0 - ((s.reported - t) / REPORT_TAU).exp()).max(REPORT_SHARE);
-        s.reported = t;
-        s.load += (held - s.load) * weight;
+        s.load.add(held, t, REPORT_TAU, (REPORT_SHARE, 1.0));
     }
 
     pub fn on_probed(&mut self, server: ServerId, outcome: Outcome, load: Option<LoadReport>, t: f64) {
@@ -460,12 +447,8 @@
         self.watch(cx);
         let (t, span) = (cx.t, self.span());
         for s in self.servers.values_mut() {
-            if t >= s.drawn + span {
-                (s.draw, s.drawn) = (self.rng.f64(), t);
-            }
-            while s.sends.front().is_some_and(|at| *at < t - span) {
-                s.sends.pop_front();
-            }
+            s.draw.renew(t, span, &mut self.rng);
+            while s.sends.pop_front_if(|at| *at < t - span).is_some() {}
         }
         let any = self.settings.reports_on_probe;
         let every = PROBE_EVERY.max(f64::from(self.settings.gateways) / PROBES_BORNE);
@@ -499,17 +482,17 @@
 
     /// Rule 3 by construction: from the moment it is told, nothing new goes to a draining or gone server.
     pub fn update(&mut self, e: &ServerEntry, t: f64) {
-        let started = e.started_at.map(secs);
-        let draw = self.rng.f64();
+        let weight = if e.weight.is_finite() && e.weight > 0.0 { e.weight.max(0.05) } else { 1.0 };
+        let entry = ServerEntry { weight, ..*e };
+        let draw = Draw { value: self.rng.f64(), at: 0.0 };
         // Each gateway probes in an order of its own: else all would know, and take, the same few.
-        let new = || Server { started, draw, probed: -draw, heard: t, slowness: 1.0, ..Server::default() };
+        let probed = -draw.value;
+        let new = || Server { entry, draw, probed, heard: t, slowness: 1.0, ..Server::default() };
         let s = self.servers.entry(e.server).or_insert_with(new);
-        if s.started != started {
-            (s.started, s.silent, s.slowness, s.heard) = (started, false, 1.0, t);
-            s.breaker = Breaker::Untried;
+        if s.entry.started_at != e.started_at {
+            (s.silent, s.slowness, s.heard, s.breaker) = (false, 1.0, t, Breaker::Untried);
         }
-        (s.zone, s.cell, s.rank, s.ready) = (e.zone, e.cell, e.rank, e.state == ServerState::Ready);
-        s.weight = if e.weight.is_finite() && e.weight > 0.0 { e.weight.max(0.05) } else { 1.0 };
+        (s.entry, s.ready) = (entry, e.state == ServerState::Ready);
         if !s.ready && !self.sweeping {
             self.servers.remove(&e.server);
         }
