Operator: the table of settings by section, and the reader of services in four modules

Cause: schema.rs (697 lines) and services.rs (585) each held several jobs: effective values, wording, a table of five sections; reading lines, holding them against one another, mistakes, the words that name servers. Change: effective.rs, schema/ with a file for each section, services/ with reader, check, faults and selector; values are taken out of 'Value' where it is defined. No behaviour changes.

--- a/operator/src/explain.rs
+++ b/operator/src/explain.rs
@@ -1,7 +1,8 @@
 //! The effective settings with their sources, as `roseyard explain` prints them.
 
+use crate::effective::{Effective, Machine};
 use crate::file::File;
-use crate::schema::{Effective, Machine, SETTINGS};
+use crate::schema::{settings, Setting};
 use crate::Mistakes;
 
 /// One setting, as it holds.
@@ -24,7 +25,7 @@
     pub fn explain(&self, machine: &Machine) -> Result<Vec<Row>, Mistakes> {
         let effective = self.effective(machine)?;
         let defaults = Effective::new(machine);
-        let row = |setting: &crate::schema::Setting| {
+        let row = |setting: &Setting| {
             let value = (setting.show)(&effective);
             // A default may follow from another setting that the file gives.
             let fallback = if value == (setting.show)(&defaults) { "default" } else { "follows from others" };
@@ -36,7 +37,7 @@
                 allowed: setting.kind.allowed(),
             }
         };
-        let mut rows: Vec<Row> = SETTINGS.iter().map(row).collect();
+        let mut rows: Vec<Row> = settings().map(row).collect();
         rows.extend(self.services().rows(|span| self.place(span)));
         Ok(rows)
     }
--- a/operator/src/file.rs
+++ b/operator/src/file.rs
@@ -1,7 +1,8 @@
 //! Reads the file against the table of settings. Nothing of a file with a mistake takes effect.
 
+use crate::effective::{Effective, Machine, Membership};
 use crate::mistake::{hint, Mistake, Mistakes};
-use crate::schema::{Effective, Machine, Membership, Setting, NEEDS, SETTINGS};
+use crate::schema::{settings, Setting, NEEDS};
 use crate::services::{self, Services};
 use crate::value::Value;
 use kdl::{KdlDocument, KdlNode};
@@ -92,7 +93,7 @@
         wrong: &mut Vec<Mistake>,
     ) {
         let name = section.name();
-        let sections = || SETTINGS.iter().map(|s| s.section).chain([services::SECTION]);
+        let sections = || settings().map(|s| s.section).chain([services::SECTION]);
         let mistake = |span: SourceSpan, what: String| Mistake::new(&self.source, span, what);
         if !sections().any(|s| s == name.value()) {
             let what = format!("there is no section '{}'", name.value());
@@ -112,7 +113,7 @@
             return services.read(section, children.nodes());
         }
         for node in children.nodes() {
-            let of = || SETTINGS.iter().filter(|s| s.section == name.value());
+            let of = || settings().filter(|s| s.section == name.value());
             let Some(setting) = of().find(|s| s.name == node.name().value()) else {
                 let what = format!("'{}' has no setting '{}'", name.value(), node.name().value());
                 let help = hint(node.name().value(), of().map(|s| s.name));
@@ -141,7 +142,7 @@
     /// All settings on such a machine. An error if they do not fit it.
     pub fn effective(&self, machine: &Machine) -> Result<Effective, Mistakes> {
         let mut effective = Effective::new(machine);
-        for setting in SETTINGS {
+        for setting in settings() {
             if let Some((value, _)) = self.given.get(&(setting.section, setting.name)) {
                 (setting.apply)(&mut effective, value);
             }
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -17,6 +17,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod effective;
 mod explain;
 mod file;
 pub mod log;
@@ -25,8 +26,8 @@
 mod services;
 mod value;
 
+pub use effective::{Effective, Machine, Membership, Standing};
 pub use explain::Row;
 pub use file::File;
 pub use mistake::{Mistake, Mistakes};
-pub use schema::{Effective, Machine, Membership, Standing};
 pub use services::Services;
--- /dev/null
+++ b/operator/src/schema/descriptors.rs
@@ -0,0 +1,57 @@
+//! Descriptors by what they are for.
+
+use super::show::bounds;
+use super::Setting;
+use crate::effective::{Effective, Machine};
+use crate::value::{Kind, Value};
+use roseyard_admission::{Policy, Share, Use};
+
+fn set_bounds(e: &mut Effective, of: Use, value: &Value) {
+    let share = &mut e.shares[of as usize];
+    if let Some(least) = value.named("least") {
+        share.least = least as usize;
+        share.most = share.most.max(share.least);
+    }
+    if let Some(most) = value.named("most") {
+        share.most = most as usize;
+        share.least = share.least.min(share.most);
+    }
+}
+
+pub(super) const SETTINGS: &[Setting] = &[
+    Setting {
+        section: "descriptors",
+        name: "total",
+        kind: Kind::Count(48, 1 << 20),
+        about: "descriptors of the process; never more than the platform and the system allow",
+        apply: |e, v| *e = Effective::new(&Machine { sockets: v.count(), allowed: e.sockets }),
+        show: |e| e.sockets.to_string(),
+    },
+    Setting {
+        section: "descriptors",
+        name: "clients",
+        kind: Kind::Bounds(1 << 20),
+        about: "connections of clients: always there, and at most",
+        apply: |e, v| {
+            set_bounds(e, Use::Clients, v);
+            e.policy = Policy::of(e.share(Use::Clients).most);
+        },
+        show: |e| bounds(e.share(Use::Clients)),
+    },
+    Setting {
+        section: "descriptors",
+        name: "links",
+        kind: Kind::Bounds(1 << 20),
+        about: "connections to servers: always there, and at most, borrowed while clients leave them unused",
+        apply: |e, v| set_bounds(e, Use::Links, v),
+        show: |e| bounds(e.share(Use::Links)),
+    },
+    Setting {
+        section: "descriptors",
+        name: "counter",
+        kind: Kind::Count(1, 32),
+        about: "connections to the counter",
+        apply: |e, v| e.shares[Use::Counter as usize] = Share { least: v.count(), most: v.count() },
+        show: |e| e.share(Use::Counter).most.to_string(),
+    },
+];
--- a/operator/src/value.rs
+++ b/operator/src/value.rs
@@ -3,6 +3,7 @@
 use ipnet::IpNet;
 use kdl::{KdlEntry, KdlNode, KdlValue};
 use miette::SourceSpan;
+use roseyard_admission::Rate;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -55,6 +56,66 @@
     Paths(Vec<(String, SocketAddr)>),
 }
 
+impl Value {
+    pub fn count(&self) -> usize {
+        if let Value::Count(n) = self {
+            *n as usize
+        } else {
+            0
+        }
+    }
+
+    pub fn number(&self) -> f64 {
+        if let Value::Number(n) = self {
+            *n
+        } else {
+            0.0
+        }
+    }
+
+    pub fn time(&self) -> Duration {
+        if let Value::Time(at) = self {
+            *at
+        } else {
+            Duration::ZERO
+        }
+    }
+
+    pub fn on(&self) -> bool {
+        *self == Value::Flag(true)
+    }
+
+    pub fn rate(&self) -> Option<Rate> {
+        if let Value::Rate(per_second, burst) = self {
+            Some(Rate { per_second: *per_second, burst: *burst })
+        } else {
+            None
+        }
+    }
+
+    pub fn text(&self) -> &str {
+        if let Value::Text(text) = self {
+            text
+        } else {
+            ""
+        }
+    }
+
+    pub fn addresses(&self) -> &[SocketAddr] {
+        if let Value::Addresses(held) = self {
+            held
+        } else {
+            &[]
+        }
+    }
+
+    /// The value of a property, if it was given.
+    pub fn named(&self, name: &str) -> Option<u64> {
+        let Value::Named(held) = self else { return None };
+        held.iter().find(|(held, _)| *held == name).map(|(_, n)| *n)
+    }
+}
+
 const PREFIXES: [(&str, u64, u64); 3] = [("v4", 8, 32), ("v6-client", 32, 128), ("v6", 16, 128)];
 
 /// Is this a name of letters, digits, dots, dashes and underscores, of 1 to `most` bytes?
