--- a/ingress/tests/terms.rs
+++ b/ingress/tests/terms.rs
@@ -515,7 +515,10 @@
                 client.send(PING);
             }
             idle.push(client);
-            telling.step(fault);
+            // Faster than admission ends those that say nothing: else they are few by themselves.
+            if n % 10 == 0 {
+                telling.step(fault);
+            }
             if n % 50 == 0 {
                 serve(&mut telling.site, &mut usual, load_of(100 + n, n));
             }
