--- a/lab/src/scale/daemon.rs
+++ b/lab/src/scale/daemon.rs
@@ -86,9 +86,14 @@
         Conduct { work: Duration::ZERO, once: self.servers_close }
     }
 
-    /// The platform's settings.
+    /// The platform's settings, of as many ingresses as are planned.
     fn settings(&self) -> Value {
-        let mut settings = site::settings_for(INGRESSES, TENANT_RATE);
+        self.settings_of(INGRESSES)
+    }
+
+    /// The platform's settings of so many ingresses.
+    fn settings_of(&self, ingresses: u32) -> Value {
+        let mut settings = site::settings_for(ingresses, TENANT_RATE);
         settings["Ceilings"]["Probes"] = self.probes.into();
         settings
     }
--- a/lab/src/scale/daemon/faults.rs
+++ b/lab/src/scale/daemon/faults.rs
@@ -4,7 +4,7 @@
 use super::load::Load;
 use super::platform::{Behaviour, Conduct, Platform};
 use super::process::Process;
-use super::{Options, Runtimes, SETTLE};
+use super::{Options, Runtimes, FULL, INGRESSES, SETTLE};
 use crate::judge::{judge, Event, What};
 use crate::usual::Outcome;
 use comfy_table::{presets::ASCII_MARKDOWN, Table};
@@ -21,6 +21,8 @@
 const SERVICES: u32 = 20;
 const LARGEST: u32 = 60;
 const ROUTES: u32 = 60;
+/// Ingresses of such a platform, with as many servers for each as are planned.
+const INGRESSES_IN_PROPORTION: u32 = SERVERS * INGRESSES / FULL.servers;
 const VICTIM: u32 = 0;
 /// Requests a second for the victim, and for all others together.
 const VICTIM_RATE: f64 = 100.0;
@@ -161,7 +163,7 @@
 impl Stage {
     fn start(options: &Options) -> io::Result<Stage> {
         let layout = Layout::long_tail(SERVERS, SERVICES, LARGEST, ROUTES);
-        Stage::start_with(options, layout)
+        Stage::start_with(options, layout, INGRESSES)
     }
 
     /// The same once services have been in use for a while.
@@ -171,11 +173,11 @@
         Ok(stage)
     }
 
-    fn start_with(options: &Options, layout: Layout) -> io::Result<Stage> {
+    fn start_with(options: &Options, layout: Layout, ingresses: u32) -> io::Result<Stage> {
         let runtimes = Runtimes::start()?;
         let conduct = Conduct { work: WORK, once: false };
         let platform = runtimes.platform.block_on(Platform::start(&layout, conduct, options.counter))?;
-        let process = Process::start(&options.daemon, &layout, &platform, &options.settings())?;
+        let process = Process::start(&options.daemon, &layout, &platform, &options.settings_of(ingresses))?;
         let load = |services: std::ops::Range<u32>, rate, seed| {
             Load::for_services(&layout, services, rate, TENANTS, options.spread, seed)
         };
@@ -387,15 +389,23 @@
 
 /// What is asked from the first moment on: no service was ever used.
 fn start(options: &Options) -> io::Result<Vec<Finding>> {
-    let stage = Stage::start(options)?;
+    [INGRESSES, INGRESSES_IN_PROPORTION]
+        .into_iter()
+        .map(|ingresses| start_among(ingresses, options))
+        .collect()
+}
+
+fn start_among(ingresses: u32, options: &Options) -> io::Result<Finding> {
+    let layout = Layout::long_tail(SERVERS, SERVICES, LARGEST, ROUTES);
+    let stage = Stage::start_with(options, layout, ingresses)?;
     let all = Load::of(&stage.layout, OTHERS_RATE, TENANTS, options.spread, options.run.seed + 5);
     let outcome = stage.wait(stage.play(&all, stage.stretch(options)));
     let not_served = outcome.asked - outcome.served;
-    Ok(vec![Fault::Start.finding(
-        "every request is served",
+    Ok(Fault::Start.finding(
+        format!("every request is served, {ingresses} ingresses before {SERVERS} servers"),
         format!("{not_served} of {} not served: {} refused", outcome.asked, outcome.refused),
         not_served == 0,
-    )])
+    ))
 }
 
 fn routes_move(options: &Options) -> io::Result<Vec<Finding>> {
@@ -443,6 +453,7 @@
     let stage = Stage::start_with(
         options,
         Layout::long_tail(CHURN_SERVICES * 2, CHURN_SERVICES, LARGEST, CHURN_SERVICES),
+        INGRESSES,
     )?;
     let all = Load::of(&stage.layout, CHURN_RATE, TENANTS, options.spread, options.run.seed + 4);
     let mut first_kib = 0;
--- a/lab/tests/scale.rs
+++ b/lab/tests/scale.rs
@@ -29,7 +29,12 @@
 
 /// An ingress that holds all of so many servers, divided into services as the plan has them.
 fn ingress(servers: usize) -> (Arc<Listing>, Hollow, World) {
-    let listing = Arc::new(Listing::new(servers, true));
+    ingress_of(Listing::new(servers, true))
+}
+
+/// An ingress that holds these servers.
+fn ingress_of(listing: Listing) -> (Arc<Listing>, Hollow, World) {
+    let listing = Arc::new(listing);
     let mut world = World::new(SEED);
     let mut hollow = Hollow::new(&listing, targets::INGRESSES, 0, SEED);
     hollow.take_line(&listing.whole(), &mut world);
@@ -47,15 +52,24 @@
     assert!(growth < 4.0, "{growth:.1} times as much with {MANY} servers as with {FEW}: a walk is 318");
 }
 
+/// Processor time of a second under the planned load before these servers.
+fn cost_of_load(listing: Listing) -> f64 {
+    let (_, mut hollow, mut world) = ingress_of(listing);
+    let load = Load { rate: 256.0, tenants: 100, demand: Demand::Even };
+    hollow.run(Duration::from_secs(1), Some(load), &mut world);
+    least(|| timed(|| hollow.run(hollow.now() + Duration::from_secs(1), Some(load), &mut world)).1)
+}
+
 #[test]
 fn a_request_costs_what_its_service_does_not_what_all_servers_do() {
-    let cost = |servers| {
-        let (_, mut hollow, mut world) = ingress(servers);
-        let load = Load { rate: 256.0, tenants: 100, demand: Demand::Even };
-        hollow.run(Duration::from_secs(1), Some(load), &mut world);
-        least(|| timed(|| hollow.run(hollow.now() + Duration::from_secs(1), Some(load), &mut world)).1)
-    };
-    assert_alike(cost);
+    assert_alike(|servers| cost_of_load(Listing::new(servers, true)));
+}
+
+#[test]
+fn a_request_for_one_large_service_costs_what_the_servers_within_reach_do() {
+    const REACH: usize = 256;
+    let growth = cost_of_load(Listing::single(MANY)) / cost_of_load(Listing::single(REACH));
+    assert!(growth < 3.0, "{growth:.1} times as much with {MANY} servers as with {REACH}: a walk is 21");
 }
 
 #[test]
--- a/src/roster.rs
+++ b/src/roster.rs
@@ -23,6 +23,7 @@
 
     /// Forgets all of them: a whole list follows.
     pub fn clear(&mut self) {
+        self.changed = true;
         self.ready.clear();
     }
 
