--- a/lab/src/scale/daemon.rs
+++ b/lab/src/scale/daemon.rs
@@ -10,7 +10,7 @@
 
 use super::measure;
 use super::report::{Figure, RoleReport};
-use super::Run;
+use super::{targets, Run};
 use crate::site;
 use crate::usual::Outcome;
 use layout::{target, Layout};
@@ -26,13 +26,18 @@
 use tokio::runtime::{Builder, Runtime};
 
 /// The size that the platform is planned for.
-const FULL: Size = Size { servers: 54_000, services: 3_200, largest: 2_000, routes: 11_000 };
+const FULL: Size = Size {
+    servers: targets::SERVERS as u32,
+    services: targets::SERVICES as u32,
+    largest: targets::LARGEST_SERVICE as u32,
+    routes: targets::ROUTES as u32,
+};
 /// Tenants at that size.
-const ALL_TENANTS: u64 = 95_000;
+const ALL_TENANTS: u64 = targets::TENANTS as u64;
 /// Tenants where their number is not what is varied.
 const SOME_TENANTS: u64 = 1_000;
 /// Ingresses that the settings name.
-const INGRESSES: u32 = 4_300;
+const INGRESSES: u32 = targets::INGRESSES as u32;
 /// Allowance of each tenant, units a second: no request of a measurement is to be refused for it.
 const TENANT_RATE: f64 = 1000.0;
 /// Requests a second while each tenant asks once: all are held at once, as idle ones are dropped after 30 s.
--- a/lab/src/scale/daemon/faults.rs
+++ b/lab/src/scale/daemon/faults.rs
@@ -162,8 +162,13 @@
 
 impl Stage {
     fn start(options: &Options) -> io::Result<Stage> {
+        Stage::start_among(INGRESSES, options)
+    }
+
+    /// The same with settings that name so many ingresses.
+    fn start_among(ingresses: u32, options: &Options) -> io::Result<Stage> {
         let layout = Layout::long_tail(SERVERS, SERVICES, LARGEST, ROUTES);
-        Stage::start_with(options, layout, INGRESSES)
+        Stage::start_with(options, layout, ingresses)
     }
 
     /// The same once services have been in use for a while.
@@ -396,8 +401,7 @@
 }
 
 fn start_among(ingresses: u32, options: &Options) -> io::Result<Finding> {
-    let layout = Layout::long_tail(SERVERS, SERVICES, LARGEST, ROUTES);
-    let stage = Stage::start_with(options, layout, ingresses)?;
+    let stage = Stage::start_among(ingresses, options)?;
     let all = Load::of(&stage.layout, OTHERS_RATE, TENANTS, options.spread, options.run.seed + 5);
     let outcome = stage.wait(stage.play(&all, stage.stretch(options)));
     let not_served = outcome.asked - outcome.served;
--- a/tests/services.rs
+++ b/tests/services.rs
@@ -353,11 +353,7 @@
 
 #[test]
 fn servers_beyond_the_aperture_are_rarely_used_however_many_there_are() {
-    let settings = Settings { gateways: 4300, classes: vec![class(Effect::Safe)], ..roomy() };
-    let mut world = World::new(settings, 0);
-    let all: Vec<ServerEntry> = (0..900).map(|index| entry(1, index, ServerState::Ready, None)).collect();
-    world.change(all);
-    world.advance(ms(10_000));
+    let mut world = before_a_large_service(0..900);
     let mut used: BTreeMap<u32, u32> = BTreeMap::new();
     for _ in 0..2000 {
         let id = world.ask_freely(1);
