Log: rejected requests are counted by reason, with the load that the last was shed for

Change: Action::Reject carries a RejectReason; for load shedding that is the number in flight, the limit and the latency ratio that it was decided by. The request engine hands it through, and the ingress logs `requests rejected` with a count of each reason, every 5 s at most and once at the end. What the ingress rejects itself (not ready, draining, at capacity) is counted with them. Clients are told nothing new; no decision depends on it.

--- a/crates/decision/src/action.rs
+++ b/crates/decision/src/action.rs
@@ -1,6 +1,7 @@
 //! Actions: what the caller has to carry out, in order.
 
 use crate::ids::{CounterKey, EndpointId, RequestId, TimerTag};
+use crate::rejection::RejectReason;
 use std::fmt;
 use std::time::Duration;
 
@@ -22,6 +23,8 @@
         request: RequestId,
         /// How long the client should wait before its next attempt.
         retry_after: Option<Duration>,
+        /// Why.
+        reason: RejectReason,
     },
     /// Final answer: failed; whether it was executed is unknown.
     Fail {
--- a/crates/decision/src/dispatcher.rs
+++ b/crates/decision/src/dispatcher.rs
@@ -9,6 +9,7 @@
 };
 use crate::ids::{CounterKey, EndpointId, RequestId, ServiceId, TimerTag};
 use crate::quota::{CounterDecision, CustomerQuotas};
+use crate::rejection::RejectReason;
 use crate::service::{EventContext, QuotaDecision, Service};
 use crate::service_table::ServiceTable;
 use crate::settings::{DiscoveryMode, Settings, SettingsError};
@@ -138,6 +139,7 @@
             return actions.push(Action::Reject {
                 request: request.request,
                 retry_after: None,
+                reason: RejectReason::UnknownClassOrPlan,
             });
         }
         request.units = if request.units.is_finite() {
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -38,6 +38,7 @@
 //! | `service::admission`, `attempts`, `closing`, `timers` | one request from arrival to answer |
 //! | `service::retry` | retry budget; where a request may be executed again |
 //! | `service::hedging` | when a second attempt goes out |
+//! | `rejection` | why a request is rejected |
 //! | `service::upstream` | joins balancer, health, latency and load shedding |
 //!
 //! # Example
@@ -146,6 +147,7 @@
 mod latency;
 mod load_shedding;
 mod quota;
+mod rejection;
 mod service;
 mod service_table;
 mod settings;
@@ -158,6 +160,7 @@
     IncomingRequest, LoadReport, Outcome,
 };
 pub use ids::{CounterKey, CustomerId, EndpointId, RequestId, ServiceId, TimerTag};
+pub use rejection::{RejectReason, ShedLoad};
 pub use settings::{
     CounterSettings, DeduplicationScope, DiscoveryMode, EndpointLimits, Idempotency, Permissions,
     Plan, RequestClass, Settings, SettingsError,
--- a/crates/decision/src/load_shedding.rs
+++ b/crates/decision/src/load_shedding.rs
@@ -3,6 +3,7 @@
 //! earn least for their work are rejected first.
 
 use crate::latency::LatencyStats;
+use crate::rejection::ShedLoad;
 use crate::settings::{RequestClass, Settings};
 use crate::util::held_random::HeldSample;
 use crate::util::{seconds, EPSILON};
@@ -65,9 +66,9 @@
         self.last_response_at = now;
     }
 
-    /// Whether one more request of the class would exceed the limit. `sample`, 0 to 1, decides for
-    /// a fraction of one request.
-    pub(crate) fn is_overloaded(
+    /// The load, if one more request of the class would exceed the limit. `sample`, 0 to 1, decides
+    /// for a fraction of one request.
+    pub(crate) fn shed_load(
         &self,
         settings: &Settings,
         latency: &LatencyStats,
@@ -75,7 +76,7 @@
         class: usize,
         sample: f64,
         now: f64,
-    ) -> bool {
+    ) -> Option<ShedLoad> {
         let permitted_ratio =
             OBJECTIVE_RATIO_MAX * relative_value(settings, latency, class).max(LEAST_CLASS_RATIO);
         let latency_ratio = latency.faded_objective_ratio(now);
@@ -94,7 +95,12 @@
         } else {
             unobserved.max(root.min(limit / FLUCTUATION_DIVISOR))
         };
-        load.in_flight as f64 + sample > limit + fluctuation
+        let limit = limit + fluctuation;
+        (load.in_flight as f64 + sample > limit).then_some(ShedLoad {
+            in_flight: load.in_flight as u32,
+            limit,
+            latency_ratio,
+        })
     }
 
     /// Whether this many requests in flight, over all services, are no more than this ingress's
--- a/crates/decision/src/service/admission.rs
+++ b/crates/decision/src/service/admission.rs
@@ -3,6 +3,7 @@
 use crate::event::IncomingRequest;
 use crate::ids::RequestId;
 use crate::quota::Verdict;
+use crate::rejection::{RejectReason, ShedLoad};
 use crate::service::hedging::HEDGE_DELAY_MEAN_LATENCIES;
 use crate::service::request::Request;
 use crate::service::state::{EventContext, Service, Timer};
@@ -40,7 +41,9 @@
                 .timers
                 .set(duration(state.now + wait_seconds), Timer::CounterWait(id)),
             Verdict::DecideLocally => self.decide_locally(id, true, state),
-            Verdict::ConcurrencyLimit => self.finish_unserved(id, state),
+            Verdict::ConcurrencyLimit => {
+                self.finish_unserved(id, RejectReason::ConcurrencyLimit, state);
+            }
         }
     }
 
@@ -104,33 +107,35 @@
             return self.remove_if_finished(id, state);
         }
         let endpoint = self.upstream.choose(request, state.now, &mut self.rng);
-        let is_overloaded = self.is_overloaded(class, state);
+        let shed_load = self.shed_load(class, state);
         let quota = state.quotas.get_mut(customer);
         let Some(quota) = quota.filter(|_| decision.is_within_quota) else {
-            return self.finish_unserved(id, state);
+            return self.finish_unserved(id, RejectReason::OverQuota, state);
         };
-        match endpoint {
-            Some(endpoint) if !is_overloaded => {
+        let reason = match (endpoint, shed_load) {
+            (Some(endpoint), None) => {
                 quota.start_request(units, decision.is_confirmed);
                 self.retry_budget.earn();
-                self.forward(id, endpoint, state);
-            }
-            _ => {
-                quota.refund(units);
-                self.finish_unserved(id, state);
+                return self.forward(id, endpoint, state);
             }
-        }
+            (None, _) => RejectReason::NoEndpoint,
+            (Some(_), Some(load)) => RejectReason::Overloaded(load),
+        };
+        quota.refund(units);
+        self.finish_unserved(id, reason, state);
     }
 
-    /// Whether a new request of the class is to be rejected for the load. The sample is held for a
-    /// few responses: drawn for each request, all ingresses would fill up to the next whole one.
-    fn is_overloaded(&mut self, class: usize, state: &EventContext) -> bool {
+    /// The load for which a new request of the class is to be rejected, if it is too high. The
+    /// sample is held for a few responses: drawn for each request, all ingresses would fill up to
+    /// the next whole one.
+    fn shed_load(&mut self, class: usize, state: &EventContext) -> Option<ShedLoad> {
         let now = state.now;
         let hold_seconds = SAMPLE_HELD_MEAN_LATENCIES * self.upstream.latency.mean(class);
         let shedder = &mut self.upstream.load_shedder;
         shedder.sample.renew(now, hold_seconds, &mut self.rng);
         let sample = shedder.sample.value;
-        self.upstream.is_overloaded(class, sample, now) && !self.is_only_request(state)
+        let shed_load = self.upstream.shed_load(class, sample, now);
+        shed_load.filter(|_| !self.is_only_request(state))
     }
 
     /// Whether it is the only request here, and the ingress as a whole is idle.
--- a/crates/decision/src/service/attempts.rs
+++ b/crates/decision/src/service/attempts.rs
@@ -4,6 +4,7 @@
 use crate::endpoint::AttemptKey;
 use crate::event::{AttemptEnd, Outcome};
 use crate::ids::{EndpointId, RequestId};
+use crate::rejection::RejectReason;
 use crate::service::hedging::hedge_delay_seconds;
 use crate::service::request::Attempt;
 use crate::service::state::{EventContext, Service, Timer};
@@ -97,7 +98,7 @@
                 return self.forward(id, endpoint, state);
             }
         }
-        self.finish_unserved(id, state);
+        self.finish_unserved(id, RejectReason::AttemptsFailed, state);
     }
 
     /// A streamed response has started: other attempts are cancelled.
--- a/crates/decision/src/service/closing.rs
+++ b/crates/decision/src/service/closing.rs
@@ -2,6 +2,7 @@
 
 use crate::action::Action;
 use crate::ids::RequestId;
+use crate::rejection::RejectReason;
 use crate::service::request::Request;
 use crate::service::state::{EventContext, Service};
 use crate::settings::{DeduplicationScope, Idempotency, Settings};
@@ -11,7 +12,12 @@
     /// Ends a request without a response: rejected where a retry is safe, else failed. The client
     /// is to wait until its units are refilled or what is in flight here is answered: without a
     /// wait, clients would retry at once; with a longer one, their next attempt would be late.
-    pub(super) fn finish_unserved(&mut self, id: RequestId, state: &mut EventContext) {
+    pub(super) fn finish_unserved(
+        &mut self,
+        id: RequestId,
+        reason: RejectReason,
+        state: &mut EventContext,
+    ) {
         let Some(request) = self.requests.get(&id).filter(|request| !request.is_closed) else {
             return;
         };
@@ -21,7 +27,7 @@
             quota.bucket.seconds_until_available(incoming.units)
         });
         let wait_seconds = refill_seconds.max(self.upstream.latency.mean(incoming.class));
-        let answer = final_answer(id, request, &self.settings, wait_seconds);
+        let answer = final_answer(id, request, &self.settings, wait_seconds, reason);
         state.actions.push(answer);
         self.close(id, state);
     }
@@ -79,6 +85,7 @@
     request: &Request,
     settings: &Settings,
     wait_seconds: f64,
+    reason: RejectReason,
 ) -> Action {
     if !is_retry_safe(request, settings) {
         return Action::Fail { request: id };
@@ -90,6 +97,7 @@
     Action::Reject {
         request: id,
         retry_after,
+        reason,
     }
 }
 
--- a/crates/decision/src/service/timers.rs
+++ b/crates/decision/src/service/timers.rs
@@ -3,6 +3,7 @@
 use crate::action::Action;
 use crate::ids::{EndpointId, RequestId};
 use crate::load_shedding::OBJECTIVE_RATIO_MAX;
+use crate::rejection::RejectReason;
 use crate::service::hedging::{self, HedgeDecision, HedgeInput};
 use crate::service::state::{EventContext, Service, Timer};
 use crate::util::duration;
@@ -37,7 +38,7 @@
             return;
         };
         if request.attempts.is_empty() {
-            return self.finish_unserved(id, state);
+            return self.finish_unserved(id, RejectReason::DeadlineExceeded, state);
         }
         // Once an attempt has been made, a client whose deadline has passed is not told to retry.
         state.actions.push(Action::Fail { request: id });
@@ -94,7 +95,7 @@
     fn is_too_busy_to_hedge(&self, class: usize, now: f64) -> bool {
         let ratio_max = hedging::HEDGE_LOAD_RATIO_MAX * OBJECTIVE_RATIO_MAX;
         self.upstream.latency.objective_ratio() > ratio_max
-            || self.upstream.is_overloaded(class, 1.0, now)
+            || self.upstream.shed_load(class, 1.0, now).is_some()
     }
 
     pub(super) fn on_maintenance_timer(&mut self, state: &mut EventContext) {
--- a/crates/decision/src/service/upstream.rs
+++ b/crates/decision/src/service/upstream.rs
@@ -10,6 +10,7 @@
 use crate::ids::EndpointId;
 use crate::latency::LatencyStats;
 use crate::load_shedding::{LoadShedder, OBJECTIVE_RATIO_MAX};
+use crate::rejection::ShedLoad;
 use crate::service::request::Request;
 use crate::service::retry::AllowedEndpoints;
 use crate::settings::{Idempotency, Settings};
@@ -67,9 +68,9 @@
         )
     }
 
-    /// Whether one more request of the class would overload the endpoints.
-    pub(crate) fn is_overloaded(&self, class: usize, sample: f64, now: f64) -> bool {
-        self.load_shedder.is_overloaded(
+    /// The load, if one more request of the class would overload the endpoints.
+    pub(crate) fn shed_load(&self, class: usize, sample: f64, now: f64) -> Option<ShedLoad> {
+        self.load_shedder.shed_load(
             &self.settings,
             &self.latency,
             &self.balancer.load(),
--- a/crates/decision/tests/infrequent_requests.rs
+++ b/crates/decision/tests/infrequent_requests.rs
@@ -129,6 +129,7 @@
         Action::Reject {
             request,
             retry_after,
+            ..
         } if request.0 == id => Some(*retry_after),
         _ => None,
     });
--- a/crates/ingress/src/program/event_loop.rs
+++ b/crates/ingress/src/program/event_loop.rs
@@ -139,6 +139,7 @@
                 self.accept_pending = true;
             }
             EventSource::AdmissionSummary => self.frontend.on_summary_due(),
+            EventSource::RejectionSummary => driver.log_rejections(),
             EventSource::Snapshot => self.on_snapshot_due(),
             EventSource::Membership => self.membership.iter_mut().for_each(|m| m.on_due(io)),
             EventSource::Status => self.on_status_due(),
--- a/crates/ingress/src/program/mod.rs
+++ b/crates/ingress/src/program/mod.rs
@@ -137,8 +137,10 @@
         self.frontend.usage()
     }
 
-    /// Writes the snapshot of clients for the next start. Call once, after the last round.
+    /// Logs what was rejected last, and writes the snapshot of clients for the next start. Call once,
+    /// after the last round.
     pub fn end(&mut self) {
+        self.driver.log_rejections();
         self.snapshots
             .finish(self.frontend.admission(), self.io.now);
     }
--- a/crates/ingress/src/routing/driver/mod.rs
+++ b/crates/ingress/src/routing/driver/mod.rs
@@ -2,6 +2,7 @@
 //! checks, calls to the counter, and the watch on discovery.
 
 mod events;
+mod rejections;
 mod start;
 
 pub use start::{DriverLimits, Start};
@@ -9,14 +10,17 @@
 use super::counter_client::CounterClient;
 use super::discovery::DiscoveryWatch;
 use super::endpoint_list::EndpointListReader;
-use super::engine::{CommandId, CommandResponse, IngressEngine, Submission};
+use super::engine::{CommandId, CommandResponse, IngressEngine, Response, Submission};
 use super::event_source::EventSource;
 use super::io::Io;
 use super::upstream::{AttemptId, Upstream};
 use crate::protocol::list::EndpointListMessage;
 use crate::transport::Key;
+use rejections::Rejections;
 use roseyard_admission::DescriptorUse;
-use roseyard_decision::{CounterKey, CounterResult, EndpointId, Notice, SettingsError};
+use roseyard_decision::{
+    CounterKey, CounterResult, EndpointId, Notice, RejectReason, SettingsError,
+};
 use roseyard_request_engine::{Directory, Output, RequestEngine};
 use start::start_counter;
 use std::net::SocketAddr;
@@ -30,6 +34,7 @@
     watch: DiscoveryWatch,
     list_reader: EndpointListReader,
     responses: Vec<CommandResponse>,
+    rejections: Rejections,
     engine_due: Option<Duration>,
 }
 
@@ -56,6 +61,7 @@
                 clock: start.clock,
             },
             responses: Vec::new(),
+            rejections: Rejections::default(),
             engine_due: None,
         };
         // Before the list: each endpoint is put into its service at once.
@@ -155,8 +161,22 @@
     }
 
     /// Takes a request; none if no more can be held, and it is to be rejected.
-    pub fn submit(&mut self, submission: Submission) -> Option<Key> {
-        self.engine.submit(submission).ok()
+    pub fn submit(&mut self, submission: Submission, io: &mut Io) -> Option<Key> {
+        let submitted = self.engine.submit(submission).ok();
+        if submitted.is_none() {
+            self.record_rejection(RejectReason::AtCapacity, io);
+        }
+        submitted
+    }
+
+    /// A request is rejected for this reason. Of those that were submitted the driver knows itself.
+    pub fn record_rejection(&mut self, reason: RejectReason, io: &mut Io) {
+        self.rejections.record(reason, io);
+    }
+
+    /// Logs what was rejected since this was last called.
+    pub fn log_rejections(&mut self) {
+        self.rejections.log();
     }
 
     /// The client of a request has disconnected.
@@ -217,10 +237,15 @@
                 let attempt = AttemptId { request, attempt };
                 self.upstream.cancel(attempt, &mut self.engine, io);
             }
-            Output::Respond { owner, response } => self.responses.push(CommandResponse {
-                command: owner,
-                response,
-            }),
+            Output::Respond { owner, response } => {
+                if let Response::Rejected { reason, .. } = response {
+                    self.record_rejection(reason, io);
+                }
+                self.responses.push(CommandResponse {
+                    command: owner,
+                    response,
+                });
+            }
             Output::IncrementCounter {
                 key,
                 amount,
--- a/crates/ingress/src/routing/event_source.rs
+++ b/crates/ingress/src/routing/event_source.rs
@@ -11,6 +11,8 @@
     Listener,
     /// The summary of admission is logged.
     AdmissionSummary,
+    /// The summary of rejected requests is logged.
+    RejectionSummary,
     /// The reputation of clients is stored.
     Snapshot,
     /// The membership's socket or state machine.
@@ -65,6 +67,7 @@
             | EventSource::Ready
             | EventSource::Shutdown
             | EventSource::AdmissionSummary
+            | EventSource::RejectionSummary
             | EventSource::Snapshot
             | EventSource::Status => (SIGNAL, 0),
         };
--- a/crates/ingress/src/routing/frontend/input.rs
+++ b/crates/ingress/src/routing/frontend/input.rs
@@ -10,6 +10,7 @@
 use crate::routing::io::{Io, READ_BUFFER_BYTES};
 use crate::transport::{Fill, Key, Ready};
 use roseyard_admission::{Action, Event};
+use roseyard_decision::RejectReason;
 use std::time::Duration;
 
 /// The next command in a client's input.
@@ -247,6 +248,7 @@
         // A request that comes while the process drains might wait for an endpoint past its end;
         // one that comes before the endpoint list would be forwarded by that of the last run.
         if self.is_draining || !self.is_ready {
+            driver.record_rejection(RejectReason::NotServing, io);
             return self.reply(key, &reply::busy(None));
         }
         // Endpoints would drop one of two open requests with the same id.
@@ -257,7 +259,7 @@
         let submitted = match self.request_rejection(key, submission.customer.0, io) {
             Some(retry_after) => Err(retry_after),
             None => driver
-                .submit(submission)
+                .submit(submission, io)
                 .ok_or(self.limits.retry_after_at_capacity),
         };
         match submitted {
--- a/crates/ingress/src/routing/frontend/reply.rs
+++ b/crates/ingress/src/routing/frontend/reply.rs
@@ -23,7 +23,7 @@
             resp::put_bulk(&mut reply, &value);
             reply
         }
-        Response::Rejected(retry_after) => busy(retry_after),
+        Response::Rejected { retry_after, .. } => busy(retry_after),
         Response::Failed => b"-ERR failed\r\n".to_vec(),
     }
 }
--- a/crates/ingress/tests/process.rs
+++ b/crates/ingress/tests/process.rs
@@ -50,6 +50,32 @@
     line_with(&mut running.log, "shutdown completed open_requests=0");
 }
 
+#[test]
+fn rejected_requests_are_logged_by_their_reason() {
+    let (counter, discovery) = (Peer::new(), Peer::new());
+    answer_with(
+        discovery.blocking_listener(),
+        b"\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n",
+    );
+    let text = config(&counter, &discovery, &[], 1024);
+    let mut running = IngressProcess::start("rejections", &text);
+    line_with(&mut running.log, "info: ready");
+    let mut client = running.connect();
+    for id in 1..=2 {
+        client.write_all(&read_request(id)).unwrap();
+        let mut reply = [0; 5];
+        client.read_exact(&mut reply).unwrap();
+        assert_eq!(&reply, b"-BUSY", "there is no endpoint");
+        while client.read_exact(&mut reply[..1]).is_ok() && reply[0] != b'\n' {}
+    }
+    assert_eq!(running.terminate().code(), Some(0));
+    let line = line_with(&mut running.log, "info: requests rejected");
+    assert!(line.contains(" no_endpoint=2 "), "{line}");
+    assert!(line.contains(" over_quota=0 "), "{line}");
+    assert!(line.contains(" overloaded=0 "), "{line}");
+}
+
 #[test]
 fn sighup_rereads_the_file_over_the_start_s_discovery_and_a_bad_file_changes_nothing() {
     let (counter, discovery) = (Peer::new(), Peer::new());
--- a/crates/request-engine/src/engine/decisions.rs
+++ b/crates/request-engine/src/engine/decisions.rs
@@ -58,7 +58,14 @@
             Action::Reject {
                 request,
                 retry_after,
-            } => self.respond(Key::unpack(request.0), Response::Rejected(retry_after)),
+                reason,
+            } => self.respond(
+                Key::unpack(request.0),
+                Response::Rejected {
+                    retry_after,
+                    reason,
+                },
+            ),
             Action::Fail { request } => self.respond(Key::unpack(request.0), Response::Failed),
             Action::Cancel { request, attempt } => self.outputs.push_back(Output::Cancel {
                 request: Key::unpack(request.0),
--- a/crates/request-engine/src/engine/mod.rs
+++ b/crates/request-engine/src/engine/mod.rs
@@ -16,7 +16,7 @@
 use crate::submission::{AtCapacity, Submission};
 use roseyard_decision::{
     Action, AttemptEnd, CounterKey, CounterResult, Dispatcher, EndpointId, Event, Idempotency,
-    LoadReport, Outcome, RequestId, Settings, SettingsError,
+    LoadReport, Outcome, RejectReason, RequestId, Settings, SettingsError,
 };
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -266,7 +266,10 @@
             let response = if may_execute {
                 Response::Failed
             } else {
-                Response::Rejected(None)
+                Response::Rejected {
+                    retry_after: None,
+                    reason: RejectReason::NotServing,
+                }
             };
             self.events
                 .push_back(Event::ClientDisconnected(RequestId(key.pack())));
--- a/crates/request-engine/src/output.rs
+++ b/crates/request-engine/src/output.rs
@@ -1,7 +1,7 @@
 //! What the engine wants done.
 
 use crate::slots::Key;
-use roseyard_decision::{CounterKey, EndpointId, Notice};
+use roseyard_decision::{CounterKey, EndpointId, Notice, RejectReason};
 use std::time::Duration;
 
 /// What the driver has to do, in the order in which [`RequestEngine::poll`] returns it.
@@ -63,8 +63,13 @@
 pub enum Response<V> {
     /// The value that an endpoint returned.
     Served(V),
-    /// Rejected, and never executed; the client may retry after this time.
-    Rejected(Option<Duration>),
+    /// Rejected, and never executed.
+    Rejected {
+        /// The client may retry after this time.
+        retry_after: Option<Duration>,
+        /// Why, for operators.
+        reason: RejectReason,
+    },
     /// Failed. Whether it was executed is unknown.
     Failed,
 }
--- a/crates/request-engine/tests/model/harness.rs
+++ b/crates/request-engine/tests/model/harness.rs
@@ -303,7 +303,7 @@
         );
         match response {
             Response::Served(value) => assert_eq!(*value, owner, "another's value"),
-            Response::Rejected(_) => assert!(
+            Response::Rejected { .. } => assert!(
                 reference.class == IDEMPOTENT
                     || reference.executed.is_none() && reference.in_flight.is_none(),
                 "rejected though it may have been executed"
--- a/crates/simulator-adapter/src/translate.rs
+++ b/crates/simulator-adapter/src/translate.rs
@@ -119,6 +119,7 @@
         Action::Reject {
             request,
             retry_after,
+            ..
         } => reply.reject(instance, request.0, retry_after.map_or(0.0, to_ms)),
         Action::Fail { request } => reply.fail(instance, request.0),
         Action::Cancel { request, attempt } => {
--- a/crates/testbed/src/scale/simulated_ingress/outputs.rs
+++ b/crates/testbed/src/scale/simulated_ingress/outputs.rs
@@ -64,7 +64,7 @@
                 }
                 Output::Respond { response, .. } => match response {
                     Response::Served(()) => self.traffic.served += 1,
-                    Response::Rejected(_) => self.traffic.rejected += 1,
+                    Response::Rejected { .. } => self.traffic.rejected += 1,
                     Response::Failed => self.traffic.failed += 1,
                 },
                 Output::FetchEndpointList | Output::Log(_) => {}
