Load shedding: an assumed latency no longer counts as a measured one

What callers saw: `-BUSY` from a service with nothing in flight and idle endpoints, at its first requests and for about 45 responses after them, the more the larger the fleet is named in the settings (4,300 ingresses in the two known red tests). Cause: a service starts with a latency ratio of 0.3, the permitted maximum. (1) It was averaged away with a weight of 1/30 a response, and until it fell below 0.7 of what the class may have, each burst of two or three exceeded the limit. (2) Before the first response the limit is the ingress's part of what idle endpoints bear, 0.005 requests among 4,300 ingresses: one with nothing in flight was rejected unless the whole ingress was idle (`is_only_request`), which other services' requests prevent. So hardly any response could teach it better. Change: the first responses weigh more in the latency ratio, as they do in the class's mean; the assumption counts as one of them. A service that has not responded yet gets one request at a time, while the ingress has fewer than four such requests in flight over all services (or its part of idle endpoints, if that is more): all ingresses starting at once fill no endpoint.

--- a/crates/decision/src/dispatcher.rs
+++ b/crates/decision/src/dispatcher.rs
@@ -236,6 +236,7 @@
         act: impl FnOnce(&mut Service, &mut EventContext),
     ) {
         let endpoint_count = self.services.endpoint_count();
+        let unmeasured_in_flight = self.services.unmeasured_in_flight();
         let Some(service) = self.services.get_mut(id) else {
             return;
         };
@@ -246,6 +247,7 @@
             actions,
             request_count: self.requests.len(),
             endpoint_count,
+            unmeasured_in_flight,
             finished_requests: &mut self.finished_requests,
         };
         act(service, &mut state);
--- a/crates/decision/src/latency.rs
+++ b/crates/decision/src/latency.rs
@@ -26,6 +26,8 @@
     mean_by_class: Vec<f64>,
     response_count: f64,
     objective_ratio: Ewma,
+    /// Responses and timeouts that the latency ratio is averaged over.
+    ratio_count: f64,
 }
 
 impl LatencyStats {
@@ -40,6 +42,7 @@
                 value: initial_ratio,
                 updated_at: now,
             },
+            ratio_count: 0.0,
         }
     }
 
@@ -65,10 +68,22 @@
         self.objective_ratio.value * (stale / RATIO_TIME_CONSTANT_SECONDS).exp()
     }
 
-    /// Takes in the latency of a response or a timeout as a share of its objective.
+    /// Whether the latency ratio is measured, and not the one that is assumed at first.
+    pub(crate) fn is_measured(&self) -> bool {
+        self.ratio_count > 0.0
+    }
+
+    /// Takes in the latency of a response or a timeout as a share of its objective. The first ones
+    /// weigh more: the assumed ratio counts as one of them.
     pub(crate) fn record_objective_ratio(&mut self, ratio: f64, now: f64) {
+        self.ratio_count += 1.0;
+        let equal_weight = 1.0 / (1.0 + self.ratio_count);
+        let weight = SampleWeight {
+            min: RATIO_WEIGHT.min.max(equal_weight),
+            max: RATIO_WEIGHT.max.max(equal_weight),
+        };
         self.objective_ratio
-            .add(ratio, now, RATIO_TIME_CONSTANT_SECONDS, RATIO_WEIGHT);
+            .add(ratio, now, RATIO_TIME_CONSTANT_SECONDS, weight);
     }
 
     /// Takes in the latency of a response and returns its ratio to the class's new mean. The first
--- a/crates/decision/src/load_shedding.rs
+++ b/crates/decision/src/load_shedding.rs
@@ -14,6 +14,9 @@
 /// Requests in flight for each endpoint, over all ingresses, that never overload it: its cores stay
 /// idle.
 pub(crate) const IDLE_IN_FLIGHT_PER_ENDPOINT: f64 = 2.0;
+/// An ingress may have so many requests in flight at services that have not responded yet, over all
+/// of them.
+const UNMEASURED_IN_FLIGHT_MIN: f64 = 4.0;
 /// Up to this many ingresses, each one's own requests in flight show the load of the endpoints.
 const OBSERVING_INGRESSES_MAX: f64 = 4.0;
 /// The classes that earn least for their work are limited to this share of the limit.
@@ -111,9 +114,7 @@
         endpoint_count: usize,
         ingress_count: u32,
     ) -> bool {
-        let local_part =
-            IDLE_IN_FLIGHT_PER_ENDPOINT * endpoint_count as f64 / f64::from(ingress_count);
-        other_requests + self.sample.value <= local_part
+        other_requests + self.sample.value <= idle_in_flight(endpoint_count, ingress_count)
     }
 
     /// Responses a second, present or remembered.
@@ -136,6 +137,22 @@
     }
 }
 
+/// An ingress's part of what this many idle endpoints bear in flight.
+fn idle_in_flight(endpoint_count: usize, ingress_count: u32) -> f64 {
+    IDLE_IN_FLIGHT_PER_ENDPOINT * endpoint_count as f64 / f64::from(ingress_count)
+}
+
+/// Whether an ingress may have one more request in flight at a service that has not responded yet,
+/// beside this many at all such services. Bounds what is in flight if all ingresses start at once.
+pub(crate) fn may_probe(
+    unmeasured_in_flight: usize,
+    endpoint_count: usize,
+    ingress_count: u32,
+) -> bool {
+    let limit = idle_in_flight(endpoint_count, ingress_count).max(UNMEASURED_IN_FLIGHT_MIN);
+    unmeasured_in_flight as f64 + 1.0 <= limit
+}
+
 /// What a class earns for its work, relative to the class that earns most.
 fn relative_value(settings: &Settings, latency: &LatencyStats, class: usize) -> f64 {
     let value = |class: &RequestClass, mean: f64| class.priority_weight / mean.max(EPSILON);
--- a/crates/decision/src/service/admission.rs
+++ b/crates/decision/src/service/admission.rs
@@ -2,6 +2,7 @@
 
 use crate::event::IncomingRequest;
 use crate::ids::RequestId;
+use crate::load_shedding;
 use crate::quota::Verdict;
 use crate::rejection::{RejectReason, ShedLoad};
 use crate::service::hedging::HEDGE_DELAY_MEAN_LATENCIES;
@@ -135,7 +136,19 @@
         shedder.sample.renew(now, hold_seconds, &mut self.rng);
         let sample = shedder.sample.value;
         let shed_load = self.upstream.shed_load(class, sample, now);
-        shed_load.filter(|_| !self.is_only_request(state))
+        shed_load.filter(|_| !self.is_probe(state) && !self.is_only_request(state))
+    }
+
+    /// Whether it finds out how a service responds that has not responded yet: one request at a
+    /// time, while the ingress has few such requests in flight.
+    fn is_probe(&self, state: &EventContext) -> bool {
+        !self.upstream.latency.is_measured()
+            && self.attempts_in_flight == 0
+            && load_shedding::may_probe(
+                state.unmeasured_in_flight,
+                state.endpoint_count,
+                self.settings.ingress_count,
+            )
     }
 
     /// Whether it is the only request here, and the ingress as a whole is idle.
--- a/crates/decision/src/service/attempts.rs
+++ b/crates/decision/src/service/attempts.rs
@@ -35,6 +35,7 @@
             is_in_flight: true,
             provably_not_executed: false,
         });
+        self.attempts_in_flight += 1;
         state.actions.push(Action::Forward {
             request: id,
             endpoint,
@@ -59,6 +60,7 @@
             return;
         };
         attempt.is_in_flight = false;
+        self.attempts_in_flight -= 1;
         attempt.provably_not_executed = end.outcome.is_provably_not_executed();
         let endpoint = attempt.endpoint;
         let incoming = &request.incoming;
--- a/crates/decision/src/service/state.rs
+++ b/crates/decision/src/service/state.rs
@@ -24,6 +24,8 @@
     pub request_count: usize,
     /// Endpoints of all services.
     pub endpoint_count: usize,
+    /// Attempts in flight at all services that have not responded yet.
+    pub unmeasured_in_flight: usize,
     /// Requests of which nothing more is to come.
     pub finished_requests: &'a mut Vec<RequestId>,
 }
@@ -43,6 +45,7 @@
     pub(super) settings: Arc<Settings>,
     pub(super) rng: fastrand::Rng,
     pub(super) requests: BTreeMap<RequestId, Request>,
+    pub(super) attempts_in_flight: usize,
     pub(super) upstream: Upstream,
     pub(super) retry_budget: RetryBudget,
     pub(super) timers: TimerQueue<Timer>,
@@ -55,6 +58,7 @@
             settings: Arc::clone(settings),
             rng: fastrand::Rng::with_seed(seed),
             requests: BTreeMap::new(),
+            attempts_in_flight: 0,
             upstream: Upstream::new(settings, now),
             retry_budget: RetryBudget::default(),
             timers: TimerQueue::default(),
@@ -67,6 +71,15 @@
         self.upstream.balancer.table.len()
     }
 
+    /// Its attempts in flight, if it has not responded yet; else none.
+    pub(crate) fn unmeasured_in_flight(&self) -> usize {
+        if self.upstream.latency.is_measured() {
+            0
+        } else {
+            self.attempts_in_flight
+        }
+    }
+
     /// Whether it has neither endpoints nor requests.
     pub(crate) fn is_unused(&self) -> bool {
         self.endpoint_count() == 0 && self.requests.is_empty()
--- a/crates/decision/src/service_table.rs
+++ b/crates/decision/src/service_table.rs
@@ -20,6 +20,7 @@
     service: Service,
     due: Option<Duration>,
     endpoint_count: usize,
+    unmeasured_in_flight: usize,
 }
 
 /// The services that have endpoints or requests.
@@ -29,6 +30,8 @@
     services: BTreeMap<ServiceId, ScheduledService>,
     /// Endpoints of all services.
     endpoint_count: usize,
+    /// Attempts in flight at all services that have not responded yet.
+    unmeasured_in_flight: usize,
     /// When each service is to be woken.
     due: BTreeSet<(Duration, ServiceId)>,
 }
@@ -40,6 +43,7 @@
             seed,
             services: BTreeMap::new(),
             endpoint_count: 0,
+            unmeasured_in_flight: 0,
             due: BTreeSet::new(),
         }
     }
@@ -53,6 +57,11 @@
         self.endpoint_count
     }
 
+    /// Attempts in flight at all services that have not responded yet.
+    pub(crate) fn unmeasured_in_flight(&self) -> usize {
+        self.unmeasured_in_flight
+    }
+
     /// When the next service is to be woken.
     pub(crate) fn next_timer(&self) -> Option<Duration> {
         self.due.first().map(|(at, _)| *at)
@@ -77,6 +86,7 @@
             service: Service::new(settings, seed, seconds(now)),
             due: None,
             endpoint_count: 0,
+            unmeasured_in_flight: 0,
         });
         &mut scheduled.service
     }
@@ -86,7 +96,7 @@
         let entry = with_valid_weight(entry);
         let service = self.get_or_create(entry.service, now);
         service.update_endpoint(&entry, seconds(now));
-        self.update_endpoint_count(entry.service);
+        self.update_counts(entry.service);
     }
 
     /// A complete endpoint list has come: endpoints and services that it does not name are gone.
@@ -104,7 +114,7 @@
             let entries = by_service.get(&id).map_or(&[][..], Vec::as_slice);
             let service = self.get_or_create(id, now);
             service.replace_endpoints(entries, seconds(now));
-            self.update_endpoint_count(id);
+            self.update_counts(id);
         }
     }
 
@@ -120,17 +130,20 @@
             }
             self.due.extend(due.map(|at| (at, id)));
         }
-        self.update_endpoint_count(id);
+        self.update_counts(id);
     }
 
-    /// Counts the service's endpoints, and drops it if it is unused.
-    fn update_endpoint_count(&mut self, id: ServiceId) {
+    /// Takes the service's counts over into those of all, and drops it if it is unused.
+    fn update_counts(&mut self, id: ServiceId) {
         let Some(scheduled) = self.services.get_mut(&id) else {
             return;
         };
         let count = scheduled.service.endpoint_count();
         let before = std::mem::replace(&mut scheduled.endpoint_count, count);
         self.endpoint_count = self.endpoint_count - before + count;
+        let count = scheduled.service.unmeasured_in_flight();
+        let before = std::mem::replace(&mut scheduled.unmeasured_in_flight, count);
+        self.unmeasured_in_flight = self.unmeasured_in_flight - before + count;
         if scheduled.service.is_unused() {
             self.drop_service(id);
         }
--- a/crates/decision/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) use counter::{CallOutcome, CounterEntry, PendingCall};
 pub(crate) use fixtures::{ceiling_plan, class, entry, ms, plan, settings};
 pub(crate) use service_simulation::{
-    ample_settings, endpoint, ready, service_entry, ServiceSimulation, CEILING, ENDPOINTS, PLAIN,
+    ample_settings, endpoint, ready, service_entry, ServiceSimulation, CEILING, ENDPOINTS,
+    IDEMPOTENT, NON_IDEMPOTENT, PLAIN,
 };
 pub(crate) use simulation::{Answer, AttemptId, AttemptRecord, Forward, RequestRecord, Simulation};
--- a/crates/decision/tests/common/service_simulation.rs
+++ b/crates/decision/tests/common/service_simulation.rs
@@ -10,6 +10,7 @@
 /// Endpoints of each service in these tests.
 pub(crate) const ENDPOINTS: u32 = 4;
 pub(crate) const IDEMPOTENT: usize = 0;
+pub(crate) const NON_IDEMPOTENT: usize = 2;
 pub(crate) const PLAIN: usize = 0;
 pub(crate) const CEILING: usize = 1;
 
@@ -130,6 +131,10 @@
     }
 
     pub(crate) fn request(&mut self, service: u32, plan: usize, customer: u64) -> u64 {
+        self.request_of_class(service, IDEMPOTENT, plan, customer)
+    }
+
+    fn request_of_class(&mut self, service: u32, class: usize, plan: usize, customer: u64) -> u64 {
         self.last_id += 1;
         let record = ServiceRequest {
             service,
@@ -139,7 +144,7 @@
         let incoming = IncomingRequest {
             request: RequestId(self.last_id),
             service: ServiceId(service),
-            class: IDEMPOTENT,
+            class,
             plan,
             customer: CustomerId(customer),
             units: 1.0,
@@ -157,6 +162,18 @@
         self.request(service, PLAIN, customer)
     }
 
+    /// Requests of a class that arrive at once, of customers within their quotas.
+    pub(crate) fn burst(&mut self, service: u32, class: usize, count: u32) -> Vec<u64> {
+        (0..count)
+            .map(|_| self.request_of_class(service, class, PLAIN, self.last_id % CUSTOMERS))
+            .collect()
+    }
+
+    /// How many of these requests are in flight.
+    pub(crate) fn in_flight(&self, ids: &[u64]) -> usize {
+        ids.iter().filter(|id| self.requests[id].in_flight).count()
+    }
+
     pub(crate) fn end(&mut self, id: u64, outcome: Outcome, elapsed: Duration) {
         let record = self.requests.get_mut(&id).expect("a known request");
         if !std::mem::take(&mut record.in_flight) {
