Load shedding: a class's assumed latency is not compared with another's measured one

Cause: `relative_value` ranks classes by priority weight over mean latency. And the first response moved that mean by 1/30 where other classes had responded 116 times before, since responses were counted over all classes. Change: responses are counted by class, so the first one replaces the assumption; a class without a response counts as the one that earns most. Not changed: a measured class is still compared with what is assumed of classes that never responded. Result: a_class_without_responses_is_not_limited_as_the_one_that_earns_least and a_class_is_compared_by_its_own_responses_from_the_first_one_on failed before (5 of 8 forwarded), pass now; the package's other tests pass unchanged.

--- a/crates/decision/src/latency.rs
+++ b/crates/decision/src/latency.rs
@@ -24,7 +24,7 @@
 /// Latency statistics of one service. Times are in seconds.
 pub(crate) struct LatencyStats {
     mean_by_class: Vec<f64>,
-    response_count: f64,
+    response_count_by_class: Vec<f64>,
     objective_ratio: Ewma,
     /// Responses and timeouts that the latency ratio is averaged over.
     ratio_count: f64,
@@ -37,7 +37,7 @@
         let objectives = settings.classes.iter().map(|class| class.latency_objective);
         LatencyStats {
             mean_by_class: objectives.map(initial_mean).collect(),
-            response_count: 0.0,
+            response_count_by_class: vec![0.0; settings.classes.len()],
             objective_ratio: Ewma {
                 value: initial_ratio,
                 updated_at: now,
@@ -51,6 +51,11 @@
         self.mean_by_class[class]
     }
 
+    /// Whether the class's mean is measured, and not the one that is assumed at first.
+    pub(crate) fn is_class_measured(&self, class: usize) -> bool {
+        self.response_count_by_class[class] > 0.0
+    }
+
     /// Mean latency of each class.
     pub(crate) fn means(&self) -> &[f64] {
         &self.mean_by_class
@@ -89,12 +94,11 @@
     /// Takes in the latency of a response and returns its ratio to the class's new mean. The first
     /// responses weigh more: endpoints are compared by the mean.
     pub(crate) fn record_response(&mut self, class: usize, latency: f64) -> f64 {
-        let class_count = self.mean_by_class.len() as f64;
         let mean = &mut self.mean_by_class[class];
-        let responses = (1.0 + self.response_count / class_count).min(MEAN_RESPONSES);
-        *mean += (latency - *mean) / responses;
+        let response_count = &mut self.response_count_by_class[class];
+        *response_count += 1.0;
+        *mean += (latency - *mean) / response_count.min(MEAN_RESPONSES);
         *mean = mean.max(MEAN_MIN_SECONDS);
-        self.response_count += 1.0;
         (latency / mean.max(EPSILON)).min(RATIO_TO_MEAN_MAX)
     }
 }
--- a/crates/decision/src/load_shedding.rs
+++ b/crates/decision/src/load_shedding.rs
@@ -153,8 +153,12 @@
     unmeasured_in_flight as f64 + 1.0 <= limit
 }
 
-/// What a class earns for its work, relative to the class that earns most.
+/// What a class earns for its work, relative to the class that earns most. A class that has not
+/// responded yet counts as that one: its assumed latency says nothing of its work.
 fn relative_value(settings: &Settings, latency: &LatencyStats, class: usize) -> f64 {
+    if !latency.is_class_measured(class) {
+        return 1.0;
+    }
     let value = |class: &RequestClass, mean: f64| class.priority_weight / mean.max(EPSILON);
     let values = settings
         .classes
--- a/crates/decision/tests/load_shedding.rs
+++ b/crates/decision/tests/load_shedding.rs
@@ -55,3 +55,50 @@
     let more = sim.burst(1, IDEMPOTENT, 100);
     assert_eq!(sim.in_flight(&more), 0);
 }
+
+/// Serves this many requests of an idempotent class, one after the other.
+fn warm_up(sim: &mut ServiceSimulation, service: u32, requests: u32) {
+    assert_eq!(sim.served_of(service, requests), requests);
+}
+
+/// Guards against: refused as the class that earns least, because its assumed latency was compared
+/// with the measured one of another class.
+#[test]
+fn a_class_without_responses_is_not_limited_as_the_one_that_earns_least() {
+    let mut sim = simulation();
+    warm_up(&mut sim, 1, 200);
+    let burst = sim.burst(1, NON_IDEMPOTENT, 8);
+    assert_eq!(sim.in_flight(&burst), 8);
+}
+
+/// Guards against: the same after its first response, because the assumption was slow to fall where
+/// other classes had responded before.
+#[test]
+fn a_class_is_compared_by_its_own_responses_from_the_first_one_on() {
+    let mut sim = simulation();
+    warm_up(&mut sim, 1, 200);
+    let first = sim.burst(1, NON_IDEMPOTENT, 1);
+    sim.end(first[0], Outcome::Ok, ms(5));
+    let burst = sim.burst(1, NON_IDEMPOTENT, 8);
+    assert_eq!(sim.in_flight(&burst), 8);
+}
+
+/// Guards against: classes that earn less for their work taking the endpoints from others.
+#[test]
+fn a_class_that_is_measured_to_earn_least_has_the_lowest_limit() {
+    let mut sim = simulation();
+    warm_up(&mut sim, 1, 200);
+    for _ in 0..100 {
+        let slow = sim.burst(1, NON_IDEMPOTENT, 1);
+        sim.advance(ms(20));
+        sim.end(slow[0], Outcome::Ok, ms(100));
+    }
+    let least = sim.burst(1, NON_IDEMPOTENT, 100);
+    let forwarded_of_least = sim.in_flight(&least);
+    let most = sim.burst(1, IDEMPOTENT, 100);
+    let forwarded_of_most = sim.in_flight(&most);
+    assert!(
+        forwarded_of_least < forwarded_of_most,
+        "{forwarded_of_least} of the class that earns least, {forwarded_of_most} beside them"
+    );
+}
