--- a/crates/decision/src/service/admission.rs
+++ b/crates/decision/src/service/admission.rs
@@ -139,10 +139,11 @@
         shed_load.filter(|_| !self.is_probe(state) && !self.is_only_request(state))
     }
 
-    /// Whether it finds out how a service responds that has not responded yet, while the ingress has
-    /// few such requests in flight.
+    /// Whether it finds out how a service responds that has not responded yet: one request at a
+    /// time, while the ingress has few such requests in flight.
     fn is_probe(&self, state: &EventContext) -> bool {
         !self.upstream.latency.is_measured()
+            && self.attempts_in_flight == 0
             && load_shedding::may_probe(
                 state.unmeasured_in_flight,
                 state.endpoint_count,
