Testbed: a soak of seeded restarts, reloads, pauses and crashes under kept connections

Cause: tests of restarts closed their clients' connections or replayed single orders of events; none kept real daemons under clients that use open connections until SIGKILL, as the platform does. The checker knows a request that is sent once more when its connection ends, another's value, and an attempt whose connection ends first. Fakes may take longer for some requests, and then look for the end of connections.

--- a/crates/decision/tests/slow_start.rs
+++ b/crates/decision/tests/slow_start.rs
@@ -46,13 +46,14 @@
 }
 
 impl Run {
-    fn new(ingress_count: usize, endpoints: u32, seed: u64) -> Run {
+    fn new(classes: Vec<RequestClass>, ingress_count: usize, endpoints: u32, seed: u64) -> Run {
         let settings = Settings {
             endpoint_limits: EndpointLimits {
                 overload_multiple: 3.0,
                 initial_capacity_ratio: 0.15,
                 ..settings(1).endpoint_limits
             },
+            classes,
             ..settings(ingress_count as u32)
         };
         let mut rng = fastrand::Rng::with_seed(seed);
@@ -270,9 +271,18 @@
     ingress_count: usize,
     endpoints: u32,
     seeds: std::ops::RangeInclusive<u64>,
+) {
+    assert_slow_start_budget_held_with(settings(1).classes, ingress_count, endpoints, seeds);
+}
+
+fn assert_slow_start_budget_held_with(
+    classes: Vec<RequestClass>,
+    ingress_count: usize,
+    endpoints: u32,
+    seeds: std::ops::RangeInclusive<u64>,
 ) {
     for seed in seeds {
-        let mut run = Run::new(ingress_count, endpoints, seed);
+        let mut run = Run::new(classes.clone(), ingress_count, endpoints, seed);
         run.run();
         let window = run.worst();
         let what = format!("{ingress_count} ingresses, {endpoints} endpoints, seed {seed}");
@@ -308,3 +318,11 @@
 {
     assert_slow_start_budget_held(400, MORE_THAN_KNOWN_ENDPOINTS, 1..=1);
 }
+
+/// Guards against: more than the budget, where no class is ranked below one that is never requested.
+#[test]
+fn what_20_ingresses_forward_of_the_only_class_stays_within_the_budget() {
+    let mut classes = settings(1).classes;
+    classes.truncate(1);
+    assert_slow_start_budget_held_with(classes, 20, ENDPOINTS, 1..=8);
+}
--- /dev/null
+++ b/crates/ingress/tests/soak.rs
@@ -0,0 +1,40 @@
+//! Short soaks of real daemons. `roseyard-testbed soak --seeds 50` plays longer ones.
+
+use roseyard_testbed::soak::{run, SoakOptions};
+use std::time::Duration;
+
+fn assert_no_rule_is_broken(seed: u64, crowd: bool) {
+    let report = run(&SoakOptions {
+        program: env!("CARGO_BIN_EXE_roseyard-ingress").into(),
+        seed,
+        members: 3,
+        clients: 24,
+        crowd,
+        length: Duration::from_secs(12),
+    })
+    .unwrap();
+    let verdict = &report.verdict;
+    assert!(verdict.served > 1_000, "{verdict:?}");
+    assert!(report.ended > 0, "{report:?}");
+    assert!(
+        verdict.violations.is_empty(),
+        "seed {seed}: {:#?}\n{:#?}",
+        verdict.violations,
+        report.evidence
+    );
+}
+
+#[test]
+fn restarts_under_kept_connections_lose_and_repeat_no_request() {
+    assert_no_rule_is_broken(1, false);
+}
+
+#[test]
+fn restarts_in_series_lose_and_repeat_no_request() {
+    assert_no_rule_is_broken(2, false);
+}
+
+#[test]
+fn restarts_beside_a_crowd_of_idle_clients_lose_and_repeat_no_request() {
+    assert_no_rule_is_broken(4, true);
+}
--- a/crates/testbed/src/checker/history.rs
+++ b/crates/testbed/src/checker/history.rs
@@ -18,17 +18,23 @@
         /// The ingress was killed or stopped meanwhile, so that no response was possible.
         excused_by_fault: bool,
     },
+    /// Its connection was closed without a response, and the client sends it once more on another.
+    RequestResent,
     /// An attempt arrived completely at this form server.
     AttemptStarted(usize),
     /// This form server responded to it.
     AttemptFinished(usize),
+    /// The attempt's connection ended before this form server responded.
+    AttemptAbandoned(usize),
 }
 
 /// A response by its kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseKind {
-    /// A value.
+    /// Its own value.
     Served,
+    /// Another value.
+    WrongValue,
     /// Rejected: it was never executed.
     Rejected,
     /// Failed: whether it was executed is unknown.
--- a/crates/testbed/src/checker/mod.rs
+++ b/crates/testbed/src/checker/mod.rs
@@ -8,6 +8,10 @@
 pub use rules::{Rule, Violation};
 
 use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Within this time of an attempt's start the end of an earlier one's connection is seen.
+const ABANDON_SETTLE_TIME: Duration = Duration::from_millis(50);
 
 /// Counts of a history, and the rules that it violates.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -75,6 +79,9 @@
 impl Checker {
     fn observe(&mut self, event: &Event) {
         let mut violated = Vec::new();
+        if matches!(event.observation, Observation::AttemptAbandoned(_)) {
+            self.on_attempt_abandoned(event);
+        }
         match event.observation {
             Observation::RequestSent { idempotent } => {
                 violated.extend(self.on_request(event.id, idempotent));
@@ -92,6 +99,16 @@
         self.verdict.violations.extend(violations);
     }
 
+    /// An attempt was abandoned. Form servers see the end of its connection and the next attempt at
+    /// about the same time, in any order: two that overlapped so briefly were not out at once.
+    fn on_attempt_abandoned(&mut self, event: &Event) {
+        self.verdict.violations.retain(|violation| {
+            let is_overlap = violation.id == event.id && violation.rule == Rule::ConcurrentAttempts;
+            let since = violation.at.map(|at| event.at.saturating_sub(at));
+            !(is_overlap && since.is_some_and(|since| since <= ABANDON_SETTLE_TIME))
+        });
+    }
+
     fn on_request(&mut self, id: u64, idempotent: bool) -> Option<Rule> {
         self.verdict.requests += 1;
         let request = RequestState {
@@ -127,6 +144,11 @@
     ) {
         match observation {
             Observation::RequestSent { .. } => {}
+            Observation::RequestResent => {
+                if self.started > 0 {
+                    violated.push(Rule::ClosedAfterForward);
+                }
+            }
             Observation::ResponseReceived(kind) => self.on_response(kind, counts, violated),
             Observation::NoResponse { excused_by_fault } => {
                 self.responses += 1;
@@ -144,6 +166,9 @@
                 self.finished += 1;
                 self.in_flight = self.in_flight.saturating_sub(1);
             }
+            Observation::AttemptAbandoned(_) => {
+                self.in_flight = self.in_flight.saturating_sub(1);
+            }
         }
     }
 
@@ -160,6 +185,7 @@
                     violated.push(Rule::ServedWithoutExecution);
                 }
             }
+            ResponseKind::WrongValue => violated.push(Rule::WrongValue),
             ResponseKind::Rejected => {
                 counts.rejected += 1;
                 if self.started > 0 && !self.idempotent {
--- a/crates/testbed/src/checker/rules.rs
+++ b/crates/testbed/src/checker/rules.rs
@@ -24,6 +24,12 @@
     /// A request has a final response unless a fault excuses it.
     #[error("no final answer")]
     NoResponse,
+    /// A served request has the value that its form server returned.
+    #[error("answered with another value")]
+    WrongValue,
+    /// A connection with a request that was forwarded is not closed without a response.
+    #[error("its connection was closed without an answer after it was sent on")]
+    ClosedAfterForward,
     /// A request that is not idempotent has one attempt.
     #[error("sent on again, and it must not run twice")]
     NonIdempotentRetry,
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod flood;
 mod scale;
+mod soak;
 
 use clap::{Parser, Subcommand};
 use std::io;
@@ -22,6 +23,9 @@
     /// A fleet of real daemons through a scenario of faults, checked by what clients and form
     /// servers observed.
     Fleet(fleet::FleetArgs),
+    /// Real daemons that are restarted, reloaded, paused and killed by a seeded plan, under clients
+    /// that keep their connections.
+    Soak(soak::SoakArgs),
     /// What each role costs by size: simulated ingresses, the real state machines and codecs in
     /// virtual time.
     #[command(after_help = scale::EXAMPLES)]
@@ -34,6 +38,7 @@
         match self.command {
             Command::Flood(args) => flood::run(&args),
             Command::Fleet(args) => fleet::run(&args),
+            Command::Soak(args) => soak::run(&args),
             Command::Scale(args) => scale::run(&args),
         }
     }
--- a/crates/testbed/src/fakes.rs
+++ b/crates/testbed/src/fakes.rs
@@ -26,6 +26,40 @@
 /// Longest time to live of a counter's total.
 const MAX_TIME_TO_LIVE_MS: f64 = 60_000.0;
 
+/// Requests that form servers take longer for.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowRequests {
+    /// One in so many, by their ids.
+    pub one_in: u64,
+    /// Time that a form server takes for such a request.
+    pub service_time: Duration,
+}
+
+/// Time that form servers take for a request.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceTime {
+    /// For most.
+    pub usual: Duration,
+    /// For some; the ends of connections are then seen during all requests.
+    pub slow: Option<SlowRequests>,
+}
+
+impl From<Duration> for ServiceTime {
+    fn from(usual: Duration) -> ServiceTime {
+        ServiceTime { usual, slow: None }
+    }
+}
+
+impl ServiceTime {
+    /// For the request with this id.
+    fn of(&self, id: u64) -> Duration {
+        match self.slow {
+            Some(slow) if id.is_multiple_of(slow.one_in) => slow.service_time,
+            _ => self.usual,
+        }
+    }
+}
+
 /// The fakes around an ingress: where each listens, and what form servers observed.
 pub struct FakePlatform {
     /// Form servers.
@@ -41,7 +75,11 @@
 impl FakePlatform {
     /// Starts `servers` form servers that take `service_time` for each request, a counter and
     /// discovery. They run until the runtime ends.
-    pub async fn start(servers: usize, service_time: Duration) -> io::Result<FakePlatform> {
+    pub async fn start(
+        servers: usize,
+        service_time: impl Into<ServiceTime>,
+    ) -> io::Result<FakePlatform> {
+        let service_time = service_time.into();
         let mut addresses = Vec::new();
         let history = History::default();
         for server in 0..servers {
@@ -90,7 +128,7 @@
 
 async fn form_server(
     listener: TcpListener,
-    service_time: Duration,
+    service_time: ServiceTime,
     server: usize,
     history: History,
 ) {
@@ -110,7 +148,7 @@
 /// `close_after_response` it returns after the first request.
 pub(crate) async fn serve_form_connection(
     mut stream: TcpStream,
-    service_time: Duration,
+    service_time: ServiceTime,
     server: usize,
     history: History,
     close_after_response: bool,
@@ -128,7 +166,10 @@
             let is_request = matches!(part(0), b"API.READ" | b"API.WRITE");
             let response = match part(0) {
                 b"API.READ" | b"API.WRITE" => {
-                    execute(part(2), service_time, server, &history).await
+                    match execute(part(2), service_time, server, &history, &stream).await {
+                        Some(response) => response,
+                        None => return Ok(()),
+                    }
                 }
                 b"INFO" => "$9\r\nutil=0.30\r\n".to_owned(),
                 b"PING" => "+PONG\r\n".to_owned(),
@@ -145,17 +186,40 @@
     }
 }
 
-/// Executes one request, whose id is 16 hexadecimal digits, and returns the response.
-async fn execute(id: &[u8], service_time: Duration, server: usize, history: &History) -> String {
+/// Executes one request, whose id is 16 hexadecimal digits, and returns the response; none if the
+/// connection ends before, which is looked at where some requests are slow.
+async fn execute(
+    id: &[u8],
+    service_time: ServiceTime,
+    server: usize,
+    history: &History,
+    stream: &TcpStream,
+) -> Option<String> {
     let id = String::from_utf8_lossy(id).into_owned();
     let number = u64::from_str_radix(&id, 16).unwrap_or(u64::MAX);
     history.record(number, Observation::AttemptStarted(server));
-    // Even an empty sleep lasts up to a tick of the timer.
-    if !service_time.is_zero() {
-        tokio::time::sleep(service_time).await;
+    let time = service_time.of(number);
+    if service_time.slow.is_some() {
+        tokio::select! {
+            () = tokio::time::sleep(time) => {}
+            () = ended(stream) => {
+                history.record(number, Observation::AttemptAbandoned(server));
+                return None;
+            }
+        }
+    } else if !time.is_zero() {
+        // Even an empty sleep lasts up to a tick of the timer.
+        tokio::time::sleep(time).await;
     }
     history.record(number, Observation::AttemptFinished(server));
-    format!("*3\r\n${}\r\n{id}\r\n$-1\r\n$-1\r\n", id.len())
+    Some(format!("*3\r\n${}\r\n{id}\r\n$-1\r\n$-1\r\n", id.len()))
+}
+
+/// Waits until the other side has ended its sending. Never returns if it sends more before.
+async fn ended(stream: &TcpStream) {
+    if let Ok(1..) = stream.peek(&mut [0; 1]).await {
+        std::future::pending::<()>().await;
+    }
 }
 
 struct Total {
--- a/crates/testbed/src/fleet/member.rs
+++ b/crates/testbed/src/fleet/member.rs
@@ -66,6 +66,13 @@
         Ok(kill_process(Pid::from_child(process), signal)?)
     }
 
+    pub(super) fn has_ended(&mut self) -> io::Result<bool> {
+        match &mut self.process {
+            Some(process) => Ok(process.try_wait()?.is_some()),
+            None => Ok(true),
+        }
+    }
+
     pub(super) fn reap(&mut self) -> io::Result<()> {
         if let Some(mut process) = self.process.take() {
             process.wait()?;
--- a/crates/testbed/src/fleet/mod.rs
+++ b/crates/testbed/src/fleet/mod.rs
@@ -9,7 +9,7 @@
 pub use wait::membership_state;
 
 use crate::checker::History;
-use crate::fakes::FakePlatform;
+use crate::fakes::{FakePlatform, ServiceTime, SlowRequests};
 use crate::faulty_network::FaultyNetwork;
 use crate::request::request;
 use rustix::process::Signal;
@@ -40,6 +40,8 @@
     pub servers: usize,
     /// Time that a form server takes for a request.
     pub service_time: Duration,
+    /// Requests that take longer.
+    pub slow_requests: Option<SlowRequests>,
     /// For the faults between them.
     pub seed: u64,
     /// The protocol period of membership; its other intervals follow from it.
@@ -57,6 +59,7 @@
             members,
             servers: 3,
             service_time: Duration::from_millis(5),
+            slow_requests: None,
             seed,
             period: Duration::from_millis(250),
             expected: members,
@@ -83,8 +86,11 @@
             .worker_threads(2)
             .enable_all()
             .build()?;
-        let platform =
-            runtime.block_on(FakePlatform::start(options.servers, options.service_time))?;
+        let service_time = ServiceTime {
+            usual: options.service_time,
+            slow: options.slow_requests,
+        };
+        let platform = runtime.block_on(FakePlatform::start(options.servers, service_time))?;
         let network = FaultyNetwork::start(options.members, options.seed, runtime.handle())?;
         let members = (0..options.members).map(Member::new).collect();
         let mut fleet = Fleet {
@@ -218,6 +224,11 @@
         self.reap(number)
     }
 
+    /// Whether a member's process has ended by itself.
+    pub fn has_ended(&mut self, number: usize) -> io::Result<bool> {
+        self.members[number].has_ended()
+    }
+
     /// Waits until a member that was sent a terminating signal has ended.
     pub fn reap(&mut self, number: usize) -> io::Result<()> {
         self.members[number].reap()
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod runtime;
 pub mod scale;
 pub mod scenario;
+pub mod soak;
--- a/crates/testbed/src/scale/daemon/servers.rs
+++ b/crates/testbed/src/scale/daemon/servers.rs
@@ -100,8 +100,13 @@
         }
         let mut changed = self.changed.subscribe();
         let history = self.history.clone();
-        let serving =
-            serve_form_connection(stream, service_time, slot, history, close_after_response);
+        let serving = serve_form_connection(
+            stream,
+            service_time.into(),
+            slot,
+            history,
+            close_after_response,
+        );
         tokio::pin!(serving);
         while !self.is_dead(slot) {
             tokio::select! {
--- a/crates/testbed/tests/checker.rs
+++ b/crates/testbed/tests/checker.rs
@@ -1,6 +1,6 @@
 //! The checker finds each violated rule, and none in a valid history.
 
-use roseyard_testbed::checker::{check, Event, Observation, ResponseKind, Verdict};
+use roseyard_testbed::checker::{check, Event, Observation, ResponseKind, Rule, Verdict};
 use std::time::Duration;
 
 const IDEMPOTENT: Observation = Observation::RequestSent { idempotent: true };
@@ -13,6 +13,9 @@
 const FINISHED: Observation = Observation::AttemptFinished(0);
 const OTHER_STARTED: Observation = Observation::AttemptStarted(1);
 const OTHER_FINISHED: Observation = Observation::AttemptFinished(1);
+const ABANDONED: Observation = Observation::AttemptAbandoned(0);
+const RESENT: Observation = Observation::RequestResent;
+const WRONG: Observation = Observation::ResponseReceived(ResponseKind::WrongValue);
 const NO_RESPONSE: Observation = Observation::NoResponse {
     excused_by_fault: false,
 };
@@ -44,6 +47,15 @@
         &[NON_IDEMPOTENT, STARTED, FAILED],
         &[NON_IDEMPOTENT, REJECTED],
         &[NON_IDEMPOTENT, STARTED, EXCUSED],
+        &[IDEMPOTENT, RESENT, STARTED, FINISHED, SERVED],
+        &[
+            IDEMPOTENT,
+            STARTED,
+            OTHER_STARTED,
+            ABANDONED,
+            OTHER_FINISHED,
+            SERVED,
+        ],
     ] {
         assert_eq!(checked(steps).violations, [], "{steps:?}");
     }
@@ -82,6 +94,11 @@
             "sent on after it was served",
         ),
         (&[IDEMPOTENT, IDEMPOTENT, REJECTED], "asked twice"),
+        (
+            &[IDEMPOTENT, STARTED, RESENT, SERVED],
+            "closed without an answer after it was sent on",
+        ),
+        (&[IDEMPOTENT, STARTED, FINISHED, WRONG], "another value"),
         (&[STARTED], "nobody asked for it"),
     ] {
         let violations = checked(steps).violations;
@@ -93,3 +110,29 @@
         );
     }
 }
+
+#[test]
+fn attempts_that_overlap_for_longer_than_an_abandoned_connection_takes_to_be_seen_are_found() {
+    let verdict_after = |abandoned_at_ms: u64| {
+        let event = |at_ms, observation| Event {
+            at: Duration::from_millis(at_ms),
+            id: 7,
+            observation,
+        };
+        check(&[
+            event(0, IDEMPOTENT),
+            event(1, STARTED),
+            event(100, OTHER_STARTED),
+            event(abandoned_at_ms, ABANDONED),
+            event(300, OTHER_FINISHED),
+            event(301, SERVED),
+        ])
+    };
+    assert_eq!(verdict_after(150).violations, []);
+    let rules: Vec<Rule> = verdict_after(151)
+        .violations
+        .iter()
+        .map(|violation| violation.rule)
+        .collect();
+    assert_eq!(rules, [Rule::ConcurrentAttempts]);
+}
