Load shedding: the permitted latency and the fluctuation as parts of their own

Change: PermittedLatency holds ratio, slowdown and whether responses are quick, and gives the fluctuation; the factor on the root has a name. No behaviour changes.

--- a/crates/decision/src/load_shedding.rs
+++ b/crates/decision/src/load_shedding.rs
@@ -21,12 +21,14 @@
 const OBSERVING_INGRESSES_MAX: f64 = 4.0;
 /// The classes that earn least for their work are limited to this share of the limit.
 const LEAST_CLASS_RATIO: f64 = 0.2;
-/// Below this share of the permitted latency all classes get some more requests.
+/// Below this share of the latency that a class is permitted, responses are quick.
 const QUICK_RATIO: f64 = 0.7;
 const THROUGHPUT_TIME_CONSTANT_SECONDS: f64 = 0.5;
 const PEAK_TIME_CONSTANT_SECONDS: f64 = 6.0;
 /// Factor on the least limit before the first response.
 const LEAST_LIMIT_FACTOR_AT_START: f64 = 1.5;
+/// While responses are quick, so many roots of the limit are permitted beyond it, and one request.
+const QUICK_FLUCTUATION_ROOTS: f64 = 2.0;
 /// The fluctuation is at least the root of the limit, up to this part of the limit.
 const FLUCTUATION_DIVISOR: f64 = 4.0;
 
@@ -80,32 +82,12 @@
         sample: f64,
         now: f64,
     ) -> Option<ShedLoad> {
-        let permitted_ratio =
-            OBJECTIVE_RATIO_MAX * relative_value(settings, latency, class).max(LEAST_CLASS_RATIO);
         let latency_ratio = latency.faded_objective_ratio(now);
-        let is_quick = latency_ratio < QUICK_RATIO * permitted_ratio;
-        // While responses are quick there is nothing for classes to compete for.
-        let permitted_ratio = if is_quick {
-            OBJECTIVE_RATIO_MAX
-        } else {
-            permitted_ratio
-        };
-        let slowdown = (permitted_ratio / latency_ratio.max(EPSILON)).min(1.0);
+        let permitted = PermittedLatency::new(settings, latency, class, latency_ratio);
         let objective = seconds(settings.classes[class].latency_objective);
-        let by_throughput = self.throughput(now) * objective * permitted_ratio * slowdown;
-        let limit = by_throughput.max(self.least_limit(settings, load));
-        // The number in flight fluctuates by about its root: while responses are quick a few more
-        // are harmless, else the sample decides. Of many ingresses, the local
-        // fluctuation is no evidence: customers that are rejected for it retry.
-        let root = limit.sqrt();
-        let unobserved =
-            unobserved_load_ratio(settings.ingress_count) * (slowdown * root).min(limit);
-        let fluctuation = if is_quick {
-            2.0 * root + 1.0
-        } else {
-            unobserved.max(root.min(limit / FLUCTUATION_DIVISOR))
-        };
-        let limit = limit + fluctuation;
+        let by_throughput = self.throughput(now) * objective * permitted.ratio * permitted.slowdown;
+        let mean_limit = by_throughput.max(self.least_limit(settings, load));
+        let limit = mean_limit + permitted.fluctuation(mean_limit, settings.ingress_count);
         (load.in_flight as f64 + sample > limit).then_some(ShedLoad {
             in_flight: load.in_flight as u32,
             limit,
@@ -144,6 +126,52 @@
     }
 }
 
+/// The latency that a class is permitted, as a share of its objective, against the present one.
+struct PermittedLatency {
+    ratio: f64,
+    /// By how much the limit is reduced because the present latency is higher; 0 to 1.
+    slowdown: f64,
+    /// Whether the present latency is well below.
+    is_quick: bool,
+}
+
+impl PermittedLatency {
+    fn new(
+        settings: &Settings,
+        latency: &LatencyStats,
+        class: usize,
+        latency_ratio: f64,
+    ) -> PermittedLatency {
+        let value = relative_value(settings, latency, class).max(LEAST_CLASS_RATIO);
+        let ranked_ratio = OBJECTIVE_RATIO_MAX * value;
+        let is_quick = latency_ratio < QUICK_RATIO * ranked_ratio;
+        // While responses are quick there is nothing for classes to compete for.
+        let ratio = if is_quick {
+            OBJECTIVE_RATIO_MAX
+        } else {
+            ranked_ratio
+        };
+        PermittedLatency {
+            ratio,
+            slowdown: (ratio / latency_ratio.max(EPSILON)).min(1.0),
+            is_quick,
+        }
+    }
+
+    /// What is permitted beyond the limit of the mean. The number in flight fluctuates by about its
+    /// root: while responses are quick a few more are harmless, else the sample decides. Of many
+    /// ingresses, the local fluctuation is no evidence: customers that are rejected for it retry.
+    fn fluctuation(&self, mean_limit: f64, ingress_count: u32) -> f64 {
+        let root = mean_limit.sqrt();
+        if self.is_quick {
+            return QUICK_FLUCTUATION_ROOTS * root + 1.0;
+        }
+        let unobserved =
+            unobserved_load_ratio(ingress_count) * (self.slowdown * root).min(mean_limit);
+        unobserved.max(root.min(mean_limit / FLUCTUATION_DIVISOR))
+    }
+}
+
 /// An ingress's part of what this many idle endpoints bear in flight.
 fn idle_in_flight(endpoint_count: usize, ingress_count: u32) -> f64 {
     IDLE_IN_FLIGHT_PER_ENDPOINT * endpoint_count as f64 / f64::from(ingress_count)
