Load shedding: a request that measures a new service's latency is not called a probe

Cause: probe is the platform's word for a health check. Change: may_measure_latency, in admission and in load shedding; no behaviour changes. Result: load_shedding, services, many_ingresses and size pass, clippy of the package is clean.

--- a/crates/decision/src/load_shedding.rs
+++ b/crates/decision/src/load_shedding.rs
@@ -178,8 +178,9 @@
 }
 
 /// Whether an ingress may have one more request in flight at a service that has not responded yet,
-/// beside this many at all such services. Bounds what is in flight if all ingresses start at once.
-pub(crate) fn may_probe(
+/// beside this many at all such services. Prevents that ingresses which start at once fill the
+/// endpoints.
+pub(crate) fn may_measure_latency(
     unmeasured_in_flight: usize,
     endpoint_count: usize,
     ingress_count: u32,
--- a/crates/decision/src/service/admission.rs
+++ b/crates/decision/src/service/admission.rs
@@ -136,15 +136,15 @@
         shedder.sample.renew(now, hold_seconds, &mut self.rng);
         let sample = shedder.sample.value;
         let shed_load = self.upstream.shed_load(class, sample, now);
-        shed_load.filter(|_| !self.is_probe(state) && !self.is_only_request(state))
+        shed_load.filter(|_| !self.may_measure_latency(state) && !self.is_only_request(state))
     }
 
     /// Whether it finds out how a service responds that has not responded yet: one request at a
     /// time, while the ingress has few such requests in flight.
-    fn is_probe(&self, state: &EventContext) -> bool {
+    fn may_measure_latency(&self, state: &EventContext) -> bool {
         !self.upstream.latency.is_measured()
             && self.attempts_in_flight == 0
-            && load_shedding::may_probe(
+            && load_shedding::may_measure_latency(
                 state.unmeasured_in_flight,
                 state.endpoint_count,
                 self.settings.ingress_count,
