--- a/crates/testbed/src/checker/mod.rs
+++ b/crates/testbed/src/checker/mod.rs
@@ -67,6 +67,8 @@
     served: bool,
     in_flight: u32,
     started: u32,
+    /// The form server of the last attempt.
+    last_started_at: Option<usize>,
     finished: u32,
 }
 
@@ -79,8 +81,8 @@
 impl Checker {
     fn observe(&mut self, event: &Event) {
         let mut violated = Vec::new();
-        if matches!(event.observation, Observation::AttemptAbandoned(_)) {
-            self.on_attempt_abandoned(event);
+        if let Observation::AttemptAbandoned(server) = event.observation {
+            self.on_attempt_abandoned(event, server);
         }
         match event.observation {
             Observation::RequestSent { idempotent } => {
@@ -100,8 +102,13 @@
     }
 
     /// An attempt was abandoned. Form servers see the end of its connection and the next attempt at
-    /// about the same time, in any order: two that overlapped so briefly were not out at once.
-    fn on_attempt_abandoned(&mut self, event: &Event) {
+    /// about the same time, in any order: two that overlapped so briefly were not out at once. The
+    /// end of the later attempt says nothing of the earlier one, which is still out.
+    fn on_attempt_abandoned(&mut self, event: &Event, server: usize) {
+        let request = self.requests.get(&event.id);
+        if request.is_none_or(|request| request.last_started_at == Some(server)) {
+            return;
+        }
         self.verdict.violations.retain(|violation| {
             let is_overlap = violation.id == event.id && violation.rule == Rule::ConcurrentAttempts;
             let since = violation.at.map(|at| event.at.saturating_sub(at));
@@ -158,8 +165,9 @@
                     violated.push(Rule::NoResponse);
                 }
             }
-            Observation::AttemptStarted(_) => {
+            Observation::AttemptStarted(server) => {
                 counts.attempts += 1;
+                self.last_started_at = Some(server);
                 self.on_attempt(violated);
             }
             Observation::AttemptFinished(_) => {
--- a/crates/testbed/tests/checker.rs
+++ b/crates/testbed/tests/checker.rs
@@ -98,6 +98,17 @@
             &[IDEMPOTENT, STARTED, RESENT, SERVED],
             "closed without an answer after it was sent on",
         ),
+        (
+            &[
+                IDEMPOTENT,
+                OTHER_STARTED,
+                STARTED,
+                ABANDONED,
+                OTHER_FINISHED,
+                SERVED,
+            ],
+            "two attempts out at once",
+        ),
         (&[IDEMPOTENT, STARTED, FINISHED, WRONG], "another value"),
         (&[STARTED], "nobody asked for it"),
     ] {
