--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the review: `stand CASE RECORD`. Exits with 1 if the rule was broken, 0 if it
 //! held, and 2 if the case could not run. With TROUBLE=0 the disruption is left out.
 
+mod pieces;
 mod platform;
 mod values;
 
@@ -15,6 +16,7 @@
     };
     let with_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run = match case.as_str() {
+        "pieces" => pieces::run,
         "values" => values::run,
         _ => {
             eprintln!("no such case: {case}");
