Review case 3: commands read ahead are dropped unanswered at the end of a shutdown

With a quarter of the form servers hanging, a client sends 1,200 commands at once 0.1 s after SIGTERM. The ingress answers 1024 to 1034 of them 3.6 s after SIGTERM and drops the rest, which it has read.

--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -3,6 +3,7 @@
 
 mod pieces;
 mod platform;
+mod shutdown;
 mod values;
 
 use platform::{end_all, Record};
@@ -17,6 +18,7 @@
     let with_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run = match case.as_str() {
         "pieces" => pieces::run,
+        "shutdown" => shutdown::run,
         "values" => values::run,
         _ => {
             eprintln!("no such case: {case}");
