--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -4,7 +4,7 @@
 mod pieces;
 mod platform;
 mod shutdown;
-mod values;
+mod unfinished;
 
 use platform::{end_all, Record};
 use std::time::Duration;
@@ -19,7 +19,7 @@
     let run = match case.as_str() {
         "pieces" => pieces::run,
         "shutdown" => shutdown::run,
-        "values" => values::run,
+        "unfinished" => unfinished::run,
         _ => {
             eprintln!("no such case: {case}");
             std::process::exit(2);
--- a/review/stand/pieces.rs
+++ b/review/stand/pieces.rs
@@ -162,7 +162,6 @@
     let work = Work {
         time: Duration::from_millis(300),
         value_bytes: 0,
-        second_after: None,
     };
     let deployment = Deployment::start(&size, work, record);
     let clients: Vec<_> = deployment
--- a/review/stand/platform.rs
+++ b/review/stand/platform.rs
@@ -211,8 +211,6 @@
     pub time: Duration,
     /// The length to which the values of `form-load` are padded.
     pub value_bytes: usize,
-    /// If set, one answer in ten comes a second time, so much later.
-    pub second_after: Option<Duration>,
 }
 
 impl FormServer {
@@ -237,9 +235,6 @@
     }
 }
 
-/// The number of answers of all form servers that could come a second time.
-static ANSWERED: AtomicU32 = AtomicU32::new(0);
-
 /// Takes a command and never answers, until the ingress closes the connection.
 fn hang(mut stream: TcpStream, name: &str, words: &[Vec<u8>], record: &Record) {
     let id = words
@@ -285,16 +280,6 @@
             if stream.write_all(&reply).is_err() {
                 return;
             }
-            if let Some(late) = work.second_after.filter(|_| words[0].starts_with(b"API.")) {
-                if ANSWERED.fetch_add(1, Ordering::SeqCst) % 10 == 9 {
-                    thread::sleep(late);
-                    record.add(format!(
-                        "{name} sends the answer to {} again",
-                        String::from_utf8_lossy(&words[2])
-                    ));
-                    let _ = stream.write_all(&reply);
-                }
-            }
         }
         match stream.read(&mut buffer) {
             Ok(0) | Err(_) => return,
--- a/review/stand/shutdown.rs
+++ b/review/stand/shutdown.rs
@@ -29,7 +29,6 @@
     let work = Work {
         time: Duration::from_millis(100),
         value_bytes: 0,
-        second_after: None,
     };
     let deployment = Deployment::start(&size, work, record);
     let ingress = &deployment.ingresses[0];
