--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -1,5 +1,5 @@
-//! The cases of the review: `stand CASE RECORD`. Exits with 1 if the rule was broken, 0 if it
-//! held, and 2 if the case could not run. With TROUBLE=0 the disruption is left out.
+//! The cases of the review: `stand CASE on|off RECORD`. Exits with 1 if the rule was broken, 0 if it
+//! held, and 2 if the case could not run. With `off` the disruption is left out.
 
 mod pieces;
 mod platform;
@@ -11,11 +11,18 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, path] = arguments.as_slice() else {
-        eprintln!("usage: stand CASE RECORD");
+    let [_, case, disruption, path] = arguments.as_slice() else {
+        eprintln!("usage: stand CASE on|off RECORD");
         std::process::exit(2);
     };
-    let with_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let with_trouble = match disruption.as_str() {
+        "on" => true,
+        "off" => false,
+        _ => {
+            eprintln!("the disruption is on or off, not {disruption}");
+            std::process::exit(2);
+        }
+    };
     let run = match case.as_str() {
         "pieces" => pieces::run,
         "shutdown" => shutdown::run,
