Client memory limit: who is owed least gives way, and every request gets its reply

Cause: beyond an eighth of the memory the client with the most buffered bytes was disconnected, whatever it was owed, and a reply was counted before its socket was offered it. Change: replies are flushed first. Then give way, in this order: unfinished commands of clients that await nothing and new requests (from three quarters of the limit), commands read ahead, unfinished commands behind pending requests, values behind another reply, and clients that do not read. All but the last are replied to. A connection whose commands are rejected closes by one path (frontend/closing.rs): the commands left on it are rejected, then it is shut down for writing. QUIT and the drain use it too.

--- a/crates/ingress/src/routing/frontend/client.rs
+++ b/crates/ingress/src/routing/frontend/client.rs
@@ -1,6 +1,7 @@
 //! State of a client connection: replies in the order of the commands, buffers and deadlines.
 
 use super::limits::FrontendLimits;
+use super::reply::FAILED;
 use crate::transport::{Key, Stream};
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -23,13 +24,23 @@
 pub(super) enum Phase {
     /// Commands are read and executed.
     Open,
-    /// No further command is executed. Once all replies are written, this side is shut down for
-    /// writing.
-    Closing,
+    /// No further request is executed. Once every reply is written and no command is left, this
+    /// side is shut down for writing.
+    Closing(RemainingInput),
     /// This side is shut down for writing. Input is discarded until the client closes too.
     Lingering,
 }
 
+/// What happens to the input of a connection in [`Phase::Closing`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum RemainingInput {
+    /// Its requests are rejected. What has not been read by then is dropped, so that a client that
+    /// sends without a pause does not keep the connection open.
+    Reject { until: Duration },
+    /// It is dropped, since it is unknown where its commands begin.
+    Discard,
+}
+
 /// Progress of a client that is slow to read its replies.
 #[derive(Clone, Copy)]
 pub(super) struct WriteStall {
@@ -48,12 +59,16 @@
     pub(super) first_pending_number: u64,
     /// Bytes of the complete replies among the pending ones.
     pub(super) pending_reply_bytes: usize,
+    /// Bytes of the values among them, which [`Client::fail_waiting_values`] can release.
+    pub(super) pending_value_bytes: usize,
     pub(super) phase: Phase,
     /// The client has shut down its side for writing or has closed the connection. In both cases it
     /// is treated as disconnected.
     pub(super) is_peer_closed: bool,
     /// Commands are not read because too many replies are pending or unwritten.
     pub(super) is_read_blocked: bool,
+    /// The input holds complete commands that a limit has kept from being executed.
+    pub(super) has_unexecuted_commands: bool,
     /// The client is in the frontend's `read_queue`.
     pub(super) is_read_scheduled: bool,
     /// The client is in the frontend's `flush_queue`.
@@ -82,9 +97,11 @@
             pending_replies: VecDeque::new(),
             first_pending_number: 0,
             pending_reply_bytes: 0,
+            pending_value_bytes: 0,
             phase: Phase::Open,
             is_peer_closed: false,
             is_read_blocked: false,
+            has_unexecuted_commands: false,
             is_read_scheduled: false,
             is_flush_scheduled: false,
             last_active_at: now,
@@ -102,9 +119,8 @@
         self.first_pending_number + self.pending_replies.len() as u64
     }
 
-    /// Stores the reply to the command with this number, and moves all complete replies at the
-    /// front of the queue to the output. Returns the request's id, or `None` if no reply was
-    /// awaited.
+    /// Stores the reply to the command with this number. Returns the request's id, or `None` if no
+    /// reply was awaited.
     pub(super) fn complete_reply(&mut self, number: u64, reply: Vec<u8>) -> Option<u64> {
         let index = usize::try_from(number.checked_sub(self.first_pending_number)?).ok()?;
         let pending = self.pending_replies.get_mut(index)?;
@@ -112,33 +128,119 @@
             return None;
         };
         self.pending_reply_bytes += reply.len();
+        self.pending_value_bytes += value_bytes(&reply);
         *pending = PendingReply::Complete(reply);
-        while let Some(PendingReply::Complete(reply)) = self.pending_replies.front() {
-            self.pending_reply_bytes -= reply.len();
-            self.stream.output().extend_from_slice(reply);
-            self.pending_replies.pop_front();
-            self.first_pending_number += 1;
-        }
         Some(id)
     }
 
+    /// Moves the complete replies at the front of the queue to the output and writes them, as far
+    /// as the socket accepts them. While more than `max_unwritten` bytes are unwritten, no further
+    /// reply is moved. Returns the number of unwritten bytes.
+    pub(super) fn write_replies(&mut self, max_unwritten: usize) -> rustix::io::Result<usize> {
+        loop {
+            while self.stream.unwritten() <= max_unwritten {
+                let Some(PendingReply::Complete(reply)) = self.pending_replies.front() else {
+                    return self.stream.flush();
+                };
+                self.pending_reply_bytes -= reply.len();
+                self.pending_value_bytes -= value_bytes(reply);
+                self.stream.output().extend_from_slice(reply);
+                self.pending_replies.pop_front();
+                self.first_pending_number += 1;
+            }
+            let unwritten = self.stream.flush()?;
+            if unwritten > 0 {
+                return Ok(unwritten);
+            }
+        }
+    }
+
     /// Appends the reply to the latest command, after the replies that are still pending.
     pub(super) fn reply(&mut self, reply: &[u8]) {
         if self.pending_replies.is_empty() {
             self.stream.output().extend_from_slice(reply);
             self.first_pending_number += 1;
-        } else {
-            self.pending_reply_bytes += reply.len();
-            self.pending_replies
-                .push_back(PendingReply::Complete(reply.to_vec()));
+            return;
+        }
+        self.pending_reply_bytes += reply.len();
+        // No request is submitted any more, so no reply is looked up by the number of a command.
+        let is_closing = self.phase != Phase::Open;
+        match self.pending_replies.back_mut() {
+            Some(PendingReply::Complete(last)) if is_closing && value_bytes(last) == 0 => {
+                last.extend_from_slice(reply);
+            }
+            _ => {
+                let reply = PendingReply::Complete(reply.to_vec());
+                self.pending_replies.push_back(reply);
+            }
         }
     }
 
+    /// Replaces values that wait for an earlier reply by a failure, the latest first, until this
+    /// many bytes are released or none is left. Returns the number of bytes released.
+    pub(super) fn fail_waiting_values(&mut self, bytes: usize) -> usize {
+        let mut released = 0;
+        for pending in self.pending_replies.iter_mut().rev() {
+            if released >= bytes {
+                break;
+            }
+            let PendingReply::Complete(reply) = pending else {
+                continue;
+            };
+            let value_bytes = value_bytes(reply);
+            if value_bytes > 0 {
+                released += value_bytes - FAILED.len();
+                self.pending_value_bytes -= value_bytes;
+                *reply = FAILED.to_vec();
+            }
+        }
+        self.pending_reply_bytes -= released;
+        released
+    }
+
     /// Replies with a protocol error and starts closing the connection, since the input that
     /// follows cannot be parsed.
     pub(super) fn protocol_error(&mut self, error: &str) {
         self.reply(format!("-ERR Protocol error: {error}\r\n").as_bytes());
-        self.phase = Phase::Closing;
+        self.phase = Phase::Closing(RemainingInput::Discard);
+        self.incomplete_command_since = None;
+        self.has_unexecuted_commands = false;
+        self.stream.clear_input();
+    }
+
+    /// Starts to close an open connection. Requests that are read until `until` are rejected.
+    pub(super) fn start_closing(&mut self, until: Duration) {
+        if self.phase == Phase::Open {
+            self.phase = Phase::Closing(RemainingInput::Reject { until });
+            self.incomplete_command_since = None;
+        }
+    }
+
+    /// Whether commands in the input are parsed. In [`Phase::Closing`] their requests are rejected.
+    pub(super) fn accepts_commands(&self) -> bool {
+        use RemainingInput::Reject;
+        matches!(self.phase, Phase::Open | Phase::Closing(Reject { .. }))
+    }
+
+    /// Whether a connection that is being closed has commands left to reject.
+    pub(super) fn has_commands_to_reject(&self, now: Duration) -> bool {
+        let Phase::Closing(RemainingInput::Reject { until }) = self.phase else {
+            return false;
+        };
+        now < until && (self.has_unexecuted_commands || self.stream.is_readable())
+    }
+
+    /// Whether no further commands are read because too many replies are pending or unwritten.
+    pub(super) fn has_too_many_replies(&self, limits: &FrontendLimits) -> bool {
+        match self.phase {
+            Phase::Open => self.pending_replies.len() >= limits.max_pipelined_requests,
+            _ => self.pending_reply_bytes > limits.max_unread_reply_bytes,
+        }
+    }
+
+    /// Returns the number of bytes of input and of replies that are buffered.
+    pub(super) fn count_buffered_bytes(&self) -> usize {
+        self.stream.input().len() + self.stream.unwritten() + self.pending_reply_bytes
     }
 
     /// Whether no reply is pending or unwritten.
@@ -176,3 +278,12 @@
         [stall, command, idle].into_iter().flatten().min()
     }
 }
+
+/// Returns the length of a reply that [`Client::fail_waiting_values`] replaces, and 0 for others.
+fn value_bytes(reply: &[u8]) -> usize {
+    if reply.starts_with(b"$") && reply.len() > FAILED.len() {
+        reply.len()
+    } else {
+        0
+    }
+}
--- a/crates/ingress/src/routing/frontend/input.rs
+++ b/crates/ingress/src/routing/frontend/input.rs
@@ -52,13 +52,12 @@
         let Some(client) = self.clients.get_mut(key) else {
             return;
         };
-        if client.phase != Phase::Open {
+        if !client.accepts_commands() {
             return self.discard(key, driver, io);
         }
         // Bounds the memory for a client that does not read its replies or pipelines without limit.
         let has_unread_replies = client.stream.unwritten() > self.limits.max_unread_reply_bytes;
-        client.is_read_blocked = has_unread_replies
-            || client.pending_replies.len() >= self.limits.max_pipelined_requests;
+        client.is_read_blocked = has_unread_replies || client.has_too_many_replies(&self.limits);
         if client.is_read_blocked {
             return self.read_ahead(key, has_unread_replies, driver, io);
         }
@@ -69,7 +68,8 @@
             stream.read_available(max_bytes, READ_BUFFER_BYTES, client.is_peer_closed);
         client.is_peer_closed |=
             matches!(read_outcome, ReadOutcome::EndOfStream | ReadOutcome::Failed);
-        let has_more = self.execute_commands(key, driver, io);
+        let max_commands = self.limits.max_commands_per_iteration;
+        let has_more = self.execute_commands(key, max_commands, driver, io);
         self.after_read(key, read_outcome, has_more, driver, io);
     }
 
@@ -87,9 +87,9 @@
             return;
         };
         // Each argument of a command may be within its limit and the command still be too long.
-        let is_open = client.phase == Phase::Open;
+        let accepts_commands = client.accepts_commands();
         let is_full = client.stream.input().len() >= self.limits.protocol.max_message_bytes();
-        if !has_more && is_open && is_full {
+        if !has_more && accepts_commands && is_full {
             client.protocol_error("command too long");
             self.schedule_flush(key);
         }
@@ -123,7 +123,7 @@
         let Some(client) = self.clients.get_mut(key) else {
             return;
         };
-        if !has_unread_replies {
+        if !has_unread_replies && client.phase == Phase::Open {
             let max_bytes = self.limits.max_read_ahead_bytes;
             let stream = &mut client.stream;
             let read_outcome =
@@ -159,19 +159,25 @@
         self.update_buffered_bytes(key, driver, io);
     }
 
-    /// Executes the complete commands in the input. Returns true if a limit stopped it before the
-    /// end of the input.
-    fn execute_commands(&mut self, key: Key, driver: &mut Driver, io: &mut Io) -> bool {
+    /// Executes up to `max_commands` of the complete commands in the input. Returns true if a limit
+    /// stopped it before the end of the input.
+    pub(super) fn execute_commands(
+        &mut self,
+        key: Key,
+        max_commands: usize,
+        driver: &mut Driver,
+        io: &mut Io,
+    ) -> bool {
         let mut offset = 0;
         let mut executed_count = 0;
         let mut has_more = false;
         while let Some(client) = self.clients.get_mut(key) {
-            if client.phase != Phase::Open {
+            if !client.accepts_commands() {
                 break;
             }
             client.is_read_blocked =
-                client.pending_replies.len() >= self.limits.max_pipelined_requests;
-            if client.is_read_blocked || executed_count >= self.limits.max_commands_per_iteration {
+                client.phase == Phase::Open && client.has_too_many_replies(&self.limits);
+            if client.is_read_blocked || executed_count >= max_commands {
                 has_more = true;
                 break;
             }
@@ -191,7 +197,8 @@
             return false;
         };
         client.stream.consume(offset);
-        if client.stream.unwritten() > 0 || client.phase == Phase::Closing {
+        client.has_unexecuted_commands = has_more;
+        if client.stream.unwritten() > 0 || client.phase != Phase::Open {
             self.schedule_flush(key);
         }
         has_more
@@ -240,9 +247,7 @@
             }
             Command::Quit => {
                 self.reply(key, b"+OK\r\n");
-                if let Some(client) = self.clients.get_mut(key) {
-                    client.phase = Phase::Closing;
-                }
+                self.start_closing(key, io);
             }
         }
     }
@@ -271,6 +276,11 @@
             self.notify_admission(Event::ProtocolError(connection_id(key)), io);
             return self.reply(key, b"-ERR request id in use\r\n");
         }
+        if client.is_some_and(|client| client.phase != Phase::Open) || self.is_memory_short() {
+            driver.record_rejection(RejectReason::AtCapacity, io);
+            let retry_after = self.limits.retry_after_at_capacity;
+            return self.reply(key, &reply::busy(Some(retry_after)));
+        }
         let submitted = match self.request_rejection(key, submission.customer.0, io) {
             Some(retry_after) => Err(retry_after),
             None => driver
--- a/crates/ingress/src/routing/frontend/limits.rs
+++ b/crates/ingress/src/routing/frontend/limits.rs
@@ -8,6 +8,7 @@
 const MAX_UNREAD_REPLY_BYTES: usize = 256 << 10;
 const MAX_READ_AHEAD_BYTES: usize = 512 << 10;
 const CLIENT_BUFFER_MEMORY_DIVISOR: usize = 8;
+const SHEDDING_THRESHOLD_PERCENT: usize = 75;
 const MAX_COMMANDS_PER_ITERATION: usize = 64;
 const MAX_ACCEPTS_PER_ITERATION: usize = 64;
 const MAX_DISCARD_BYTES_PER_ITERATION: usize = 1 << 20;
@@ -36,8 +37,10 @@
     /// Bytes of input that are buffered for a client with [`Self::max_pipelined_requests`] pending
     /// replies. They are read only to detect that the client closes the connection.
     pub max_read_ahead_bytes: usize,
-    /// Bytes of unparsed input and unwritten replies of all clients. Beyond it the client with the
-    /// most is disconnected.
+    /// Bytes of unparsed input and unwritten replies of all clients beyond which unfinished commands
+    /// and new requests are rejected.
+    pub shed_buffered_bytes: usize,
+    /// The most bytes of unparsed input and unwritten replies of all clients.
     pub max_buffered_bytes: usize,
     /// Commands of one client that are executed in an iteration; the others wait for the next one.
     pub max_commands_per_iteration: usize,
@@ -77,12 +80,14 @@
         protocol: ProtocolLimits,
         shutdown: ShutdownLimits,
     ) -> FrontendLimits {
+        let max_buffered_bytes = memory_bytes / CLIENT_BUFFER_MEMORY_DIVISOR;
         FrontendLimits {
             protocol,
             shutdown,
             max_unread_reply_bytes: MAX_UNREAD_REPLY_BYTES,
             max_read_ahead_bytes: MAX_READ_AHEAD_BYTES,
-            max_buffered_bytes: memory_bytes / CLIENT_BUFFER_MEMORY_DIVISOR,
+            shed_buffered_bytes: max_buffered_bytes / 100 * SHEDDING_THRESHOLD_PERCENT,
+            max_buffered_bytes,
             max_commands_per_iteration: MAX_COMMANDS_PER_ITERATION,
             max_accepts_per_iteration: MAX_ACCEPTS_PER_ITERATION,
             max_discard_bytes_per_iteration: MAX_DISCARD_BYTES_PER_ITERATION,
--- a/crates/ingress/src/routing/frontend/mod.rs
+++ b/crates/ingress/src/routing/frontend/mod.rs
@@ -5,15 +5,19 @@
 //! - `client`: state of one connection
 //! - `input` and `commands`: read, parse and execute commands
 //! - `output` and `reply`: encode and write replies
+//! - `closing`: rejects the commands that are left on a connection that is being closed
+//! - `memory`: the limit on buffered bytes, and who gives way when it is reached
 //! - `timeouts` and `shutdown`: deadlines of connections, and graceful shutdown
 //! - `limits`: limits on client connections
 
 mod accept;
 mod client;
+mod closing;
 mod commands;
 mod input;
 mod limits;
 mod listener;
+mod memory;
 mod output;
 mod reply;
 mod shutdown;
@@ -208,27 +212,6 @@
         }
     }
 
-    /// Updates the number of bytes buffered for a client. While the total of all clients exceeds
-    /// the limit, disconnects the client with the most buffered bytes.
-    fn update_buffered_bytes(&mut self, key: Key, driver: &mut Driver, io: &mut Io) {
-        if let Some(client) = self.clients.get_mut(key) {
-            let stream = &client.stream;
-            let buffered = stream.input().len() + stream.unwritten() + client.pending_reply_bytes;
-            self.buffered_bytes = self.buffered_bytes - client.buffered_bytes + buffered;
-            client.buffered_bytes = buffered;
-        }
-        while self.buffered_bytes > self.limits.max_buffered_bytes {
-            let clients = self.clients.iter();
-            let largest = clients.max_by_key(|(_, client)| client.buffered_bytes);
-            let Some((largest, _)) = largest else { return };
-            tracing::warn!(
-                event = "clients.memory_limit",
-                "client memory limit reached, closing the largest client"
-            );
-            self.disconnect(largest, true, driver, io);
-        }
-    }
-
     /// Queues a client's output to be flushed at the end of this iteration.
     fn schedule_flush(&mut self, key: Key) {
         let client = self.clients.get_mut(key);
--- a/crates/ingress/src/routing/frontend/output.rs
+++ b/crates/ingress/src/routing/frontend/output.rs
@@ -48,11 +48,12 @@
     /// Writes the client's replies as far as the socket accepts them, and advances the phase of the
     /// connection.
     fn flush_client(&mut self, key: Key, driver: &mut Driver, io: &mut Io) {
+        let linger_timeout = self.linger_timeout();
         let Some(client) = self.clients.get_mut(key) else {
             return;
         };
         client.is_flush_scheduled = false;
-        let Ok(unwritten) = client.stream.flush() else {
+        let Ok(unwritten) = client.write_replies(self.limits.max_unread_reply_bytes) else {
             return self.disconnect(key, false, driver, io);
         };
         if unwritten > 0 {
@@ -72,7 +73,7 @@
         if self.is_draining && !was_read_blocked && client.is_drained(io.now, &self.limits) {
             // Input that has arrived since the last read is answered before the connection closes.
             if client.stream.is_open_without_input() {
-                client.phase = Phase::Closing;
+                client.start_closing(io.now + linger_timeout);
             } else {
                 self.schedule_read(key);
             }
@@ -80,36 +81,15 @@
         let Some(client) = self.clients.get(key) else {
             return;
         };
-        if unwritten == 0 && client.phase == Phase::Closing && client.pending_replies.is_empty() {
-            self.half_close(key, driver, io);
+        if client.is_idle() && matches!(client.phase, Phase::Closing(_)) {
+            self.finish_closing(key, driver, io);
         } else {
             self.after_flush(key, was_read_blocked, io);
         }
-        self.update_buffered_bytes(key, driver, io);
+        self.count_buffered_bytes(key);
         self.update_deadline(key, io);
     }
 
-    /// Shuts down this side of the connection for writing, once all replies are written and no
-    /// further command is executed. Closing the socket while it has unread input would send a
-    /// reset, which destroys replies in transit; so input is discarded until the client closes too.
-    fn half_close(&mut self, key: Key, driver: &mut Driver, io: &mut Io) {
-        let Some(client) = self.clients.get_mut(key) else {
-            return;
-        };
-        client.phase = Phase::Lingering;
-        let timeout = if self.is_draining {
-            self.limits.shutdown.linger_timeout
-        } else {
-            self.limits.linger_timeout
-        };
-        client.linger_deadline = io.now + timeout;
-        if client.stream.shut_down_write().is_err() {
-            return self.disconnect(key, false, driver, io);
-        }
-        self.schedule_read(key);
-        self.notify_admission(Event::HalfClosed(connection_id(key)), io);
-    }
-
     /// Resumes reading from a client that was blocked, and reports an idle connection to admission.
     fn after_flush(&mut self, key: Key, was_read_blocked: bool, io: &mut Io) {
         let Some(is_idle) = self.clients.get(key).map(Client::is_idle) else {
--- a/crates/ingress/src/routing/frontend/reply.rs
+++ b/crates/ingress/src/routing/frontend/reply.rs
@@ -7,6 +7,9 @@
 /// Most bytes that the encoding of a bulk string adds to its value.
 const MAX_BULK_FRAMING_BYTES: usize = 16;
 
+/// The reply to a request that has failed.
+pub(super) const FAILED: &[u8] = b"-ERR failed\r\n";
+
 /// Encodes a rejection. The retry time is sent in milliseconds, at least 1; with `None` the reply
 /// has none.
 pub(super) fn busy(retry_after: Option<Duration>) -> Vec<u8> {
@@ -25,6 +28,6 @@
             reply
         }
         Response::Rejected { retry_after, .. } => busy(retry_after),
-        Response::Failed => b"-ERR failed\r\n".to_vec(),
+        Response::Failed => FAILED.to_vec(),
     }
 }
--- a/crates/ingress/src/routing/frontend/shutdown.rs
+++ b/crates/ingress/src/routing/frontend/shutdown.rs
@@ -1,6 +1,6 @@
 //! Closes all client connections when the process shuts down.
 
-use super::client::Phase;
+use super::client::{Phase, RemainingInput};
 use super::Frontend;
 use crate::routing::driver::Driver;
 use crate::routing::io::Io;
@@ -37,7 +37,7 @@
         for key in self.keys() {
             if let Some(client) = self.clients.get_mut(key) {
                 if client.phase == Phase::Open {
-                    client.phase = Phase::Closing;
+                    client.phase = Phase::Closing(RemainingInput::Discard);
                 }
             }
             self.schedule_flush(key);
--- a/crates/ingress/src/transport/stream.rs
+++ b/crates/ingress/src/transport/stream.rs
@@ -177,17 +177,27 @@
     /// Returns whether the connection is open and neither data nor the end of the stream can be
     /// read. Queries the socket, and so detects also what has arrived since the last event.
     pub fn is_open_without_input(&self) -> bool {
+        self.input().is_empty() && !self.is_readable()
+    }
+
+    /// Returns whether data, the end of the stream or an error can be read from the socket.
+    pub fn is_readable(&self) -> bool {
         let mut byte = [0; 1];
         let peeked = net::recv(&self.fd, &mut byte, RecvFlags::PEEK | RecvFlags::DONTWAIT);
-        self.input().is_empty() && matches!(peeked, Err(Errno::AGAIN))
+        !matches!(peeked, Err(Errno::AGAIN))
+    }
+
+    /// Drops the input, and releases its buffer.
+    pub fn clear_input(&mut self) {
+        self.input = Vec::new();
+        self.consumed = 0;
     }
 
     /// Discards the input and up to about `limit` bytes that can be read, and returns the number of
     /// bytes discarded from the socket. For TCP, the kernel drops data that is read with
     /// `MSG_TRUNC` without copying it, so a large value costs neither memory nor copies.
     pub fn discard(&mut self, limit: usize, scratch: &mut [u8]) -> (ReadOutcome, usize) {
-        self.input = Vec::new();
-        self.consumed = 0;
+        self.clear_input();
         let mut discarded = 0;
         while discarded < limit {
             match net::recv(
