Incomplete commands time out by their own first byte, and lose no request behind them

Cause: incomplete_command_since was kept as long as the input was never empty, and a timed-out command was treated as malformed framing, so what followed it was discarded while the connection waited for replies. Change: the time begins anew once a command is executed, and stops while the ingress does not read. A timed-out command gets its error in its place, the rest of it is skipped, and requests behind it are rejected by the path that closes connections. What has arrived by the deadline is read first.

--- a/crates/ingress/src/routing/frontend/client.rs
+++ b/crates/ingress/src/routing/frontend/client.rs
@@ -34,9 +34,9 @@
 /// What happens to the input of a connection in [`Phase::Closing`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum RemainingInput {
-    /// Its requests are rejected. What has not been read by then is dropped, so that a client that
-    /// sends without a pause does not keep the connection open.
-    Reject { until: Duration },
+    /// Its requests are rejected. `until` is set once no reply is pending; what has not been read by
+    /// then is dropped, so that a client that sends without a pause does not keep the connection.
+    Reject { until: Option<Duration> },
     /// It is dropped, since it is unknown where its commands begin.
     Discard,
 }
@@ -75,8 +75,11 @@
     pub(super) is_flush_scheduled: bool,
     /// When input was last read, or a flush last left no reply unwritten.
     pub(super) last_active_at: Duration,
-    /// When the first part of an incomplete command was read; `None` if no command is incomplete.
+    /// When the first part of the incomplete command was read; `None` if no command is incomplete,
+    /// and while the ingress does not read.
     pub(super) incomplete_command_since: Option<Duration>,
+    /// The next command has been replied to before its end was read, and is not executed.
+    pub(super) skips_next_command: bool,
     /// Set while the socket has not accepted all replies; `None` once they are written.
     pub(super) stall: Option<WriteStall>,
     /// In [`Phase::Lingering`], when the connection is closed even if the client has not closed it.
@@ -106,6 +109,7 @@
             is_flush_scheduled: false,
             last_active_at: now,
             incomplete_command_since: None,
+            skips_next_command: false,
             stall: None,
             linger_deadline: Duration::ZERO,
             discarded_bytes: 0,
@@ -201,32 +205,44 @@
     /// Replies with a protocol error and starts closing the connection, since the input that
     /// follows cannot be parsed.
     pub(super) fn protocol_error(&mut self, error: &str) {
-        self.reply(format!("-ERR Protocol error: {error}\r\n").as_bytes());
+        if !std::mem::take(&mut self.skips_next_command) {
+            self.reply(format!("-ERR Protocol error: {error}\r\n").as_bytes());
+        }
         self.phase = Phase::Closing(RemainingInput::Discard);
         self.incomplete_command_since = None;
         self.has_unexecuted_commands = false;
         self.stream.clear_input();
     }
 
-    /// Starts to close an open connection. Requests that are read until `until` are rejected.
-    pub(super) fn start_closing(&mut self, until: Duration) {
+    /// Starts to close an open connection. Requests that are still read are rejected.
+    pub(super) fn start_closing(&mut self) {
         if self.phase == Phase::Open {
-            self.phase = Phase::Closing(RemainingInput::Reject { until });
+            self.phase = Phase::Closing(RemainingInput::Reject { until: None });
             self.incomplete_command_since = None;
         }
     }
 
+    /// Replies with an error to the incomplete command, and starts to close the connection. What
+    /// follows the command can be parsed once the rest of it has been read.
+    pub(super) fn time_out_command(&mut self) {
+        self.reply(b"-ERR Protocol error: command not finished in time\r\n");
+        self.skips_next_command = true;
+        self.start_closing();
+    }
+
     /// Whether commands in the input are parsed. In [`Phase::Closing`] their requests are rejected.
     pub(super) fn accepts_commands(&self) -> bool {
         use RemainingInput::Reject;
         matches!(self.phase, Phase::Open | Phase::Closing(Reject { .. }))
     }
 
-    /// Whether a connection that is being closed has commands left to reject.
-    pub(super) fn has_commands_to_reject(&self, now: Duration) -> bool {
-        let Phase::Closing(RemainingInput::Reject { until }) = self.phase else {
+    /// Whether a connection that is being closed, and awaits no reply, has commands left to reject.
+    /// They are rejected for up to `timeout`.
+    pub(super) fn has_commands_to_reject(&mut self, now: Duration, timeout: Duration) -> bool {
+        let Phase::Closing(RemainingInput::Reject { until }) = &mut self.phase else {
             return false;
         };
+        let until = *until.get_or_insert(now + timeout);
         now < until && (self.has_unexecuted_commands || self.stream.is_readable())
     }
 
--- a/crates/ingress/src/routing/frontend/closing.rs
+++ b/crates/ingress/src/routing/frontend/closing.rs
@@ -13,10 +13,9 @@
 
 impl Frontend {
     /// Starts to close an open connection: its pending requests are completed, the others rejected.
-    pub(super) fn start_closing(&mut self, key: Key, io: &Io) {
-        let until = io.now + self.linger_timeout();
+    pub(super) fn start_closing(&mut self, key: Key) {
         if let Some(client) = self.clients.get_mut(key) {
-            client.start_closing(until);
+            client.start_closing();
         }
         self.schedule_flush(key);
     }
@@ -24,8 +23,9 @@
     /// Shuts the connection down for writing once no command is left on it. Called when it is
     /// closing and all replies are written.
     pub(super) fn finish_closing(&mut self, key: Key, driver: &mut Driver, io: &mut Io) {
-        let client = self.clients.get(key);
-        if client.is_some_and(|client| client.has_commands_to_reject(io.now)) {
+        let timeout = self.linger_timeout();
+        let client = self.clients.get_mut(key);
+        if client.is_some_and(|client| client.has_commands_to_reject(io.now, timeout)) {
             self.schedule_read(key);
         } else {
             self.half_close(key, driver, io);
@@ -50,7 +50,7 @@
     }
 
     /// Returns for how long a client may keep a connection open that is being closed.
-    pub(super) fn linger_timeout(&self) -> Duration {
+    fn linger_timeout(&self) -> Duration {
         if self.is_draining {
             self.limits.shutdown.linger_timeout
         } else {
--- a/crates/ingress/src/routing/frontend/input.rs
+++ b/crates/ingress/src/routing/frontend/input.rs
@@ -59,6 +59,7 @@
         let has_unread_replies = client.stream.unwritten() > self.limits.max_unread_reply_bytes;
         client.is_read_blocked = has_unread_replies || client.has_too_many_replies(&self.limits);
         if client.is_read_blocked {
+            client.incomplete_command_since = None;
             return self.read_ahead(key, has_unread_replies, driver, io);
         }
         client.last_active_at = io.now;
@@ -184,7 +185,9 @@
             match self.next_command(key, offset, driver) {
                 NextCommand::Parsed(command, length) => {
                     offset += length;
-                    self.execute(key, command, driver, io);
+                    if !self.skip_command(key) {
+                        self.execute(key, command, driver, io);
+                    }
                 }
                 NextCommand::Malformed(malformed) => {
                     self.on_malformed_command(key, malformed.0, io);
@@ -197,6 +200,9 @@
             return false;
         };
         client.stream.consume(offset);
+        if offset > 0 {
+            client.incomplete_command_since = None;
+        }
         client.has_unexecuted_commands = has_more;
         if client.stream.unwritten() > 0 || client.phase != Phase::Open {
             self.schedule_flush(key);
@@ -231,6 +237,12 @@
         }
     }
 
+    /// Returns whether the command that was just parsed has been replied to before.
+    fn skip_command(&mut self, key: Key) -> bool {
+        let client = self.clients.get_mut(key);
+        client.is_some_and(|client| std::mem::take(&mut client.skips_next_command))
+    }
+
     /// Executes a command, or replies with the error if it is invalid.
     fn execute(&mut self, key: Key, command: Command, driver: &mut Driver, io: &mut Io) {
         match command {
@@ -247,7 +259,7 @@
             }
             Command::Quit => {
                 self.reply(key, b"+OK\r\n");
-                self.start_closing(key, io);
+                self.start_closing(key);
             }
         }
     }
--- a/crates/ingress/src/routing/frontend/memory.rs
+++ b/crates/ingress/src/routing/frontend/memory.rs
@@ -84,15 +84,14 @@
     /// them. Returns false if there is none.
     fn reject_unexecuted_commands(&mut self, driver: &mut Driver, io: &mut Io) -> bool {
         let most_unexecuted = self.client_with_most(|client| {
-            let is_unexecuted =
-                client.phase == Phase::Open && client.incomplete_command_since.is_none();
+            let is_unexecuted = client.phase == Phase::Open && client.has_unexecuted_commands;
             client.stream.input().len() * usize::from(is_unexecuted)
         });
         let Some(key) = most_unexecuted else {
             return false;
         };
         log_shedding("waiting commands rejected");
-        self.start_closing(key, io);
+        self.start_closing(key);
         self.execute_commands(key, usize::MAX, driver, io);
         self.count_buffered_bytes(key);
         true
--- a/crates/ingress/src/routing/frontend/output.rs
+++ b/crates/ingress/src/routing/frontend/output.rs
@@ -48,7 +48,6 @@
     /// Writes the client's replies as far as the socket accepts them, and advances the phase of the
     /// connection.
     fn flush_client(&mut self, key: Key, driver: &mut Driver, io: &mut Io) {
-        let linger_timeout = self.linger_timeout();
         let Some(client) = self.clients.get_mut(key) else {
             return;
         };
@@ -73,7 +72,7 @@
         if self.is_draining && !was_read_blocked && client.is_drained(io.now, &self.limits) {
             // Input that has arrived since the last read is answered before the connection closes.
             if client.stream.is_open_without_input() {
-                client.start_closing(io.now + linger_timeout);
+                client.start_closing();
             } else {
                 self.schedule_read(key);
             }
--- a/crates/ingress/src/routing/frontend/timeouts.rs
+++ b/crates/ingress/src/routing/frontend/timeouts.rs
@@ -69,14 +69,13 @@
         let Some(client) = self.clients.get_mut(key) else {
             return;
         };
-        if client.incomplete_command_since.take().is_some() {
-            client.protocol_error("command not finished in time");
-            self.notify_admission(Event::ProtocolError(connection_id(key)), io);
-            return self.schedule_flush(key);
-        }
         // Input that has arrived since the last event is still read.
-        if !client.stream.is_open_without_input() {
-            return self.read(key, driver, io);
+        if client.has_unexecuted_commands || client.stream.is_readable() {
+            self.read(key, driver, io);
+            return self.time_out_command(key, io);
+        }
+        if client.incomplete_command_since.is_some() {
+            return self.time_out_command(key, io);
         }
         if self.is_draining {
             return self.schedule_flush(key);
@@ -87,6 +86,22 @@
         self.disconnect(key, is_client_fault, driver, io);
     }
 
+    /// Replies with an error to a command that has not been finished in time, and starts to close
+    /// the connection.
+    fn time_out_command(&mut self, key: Key, io: &mut Io) {
+        let timeout = self.limits.command_timeout;
+        let Some(client) = self.clients.get_mut(key) else {
+            return;
+        };
+        let since = client.incomplete_command_since;
+        if since.is_none_or(|since| since + timeout > io.now) {
+            return;
+        }
+        client.time_out_command();
+        self.notify_admission(Event::ProtocolError(connection_id(key)), io);
+        self.schedule_flush(key);
+    }
+
     /// Returns how long a connection may be idle. During shutdown this is at most the grace period
     /// for the first request of a new client.
     fn idle_timeout(&self, key: Key) -> Duration {
