Shutdown: commands behind a hanging request are rejected when the drain times out

Cause: behind 1024 pending replies commands are read ahead and not executed. When the drain timed out, close_connections marked every connection as closing, and the input of such a connection was discarded. Change: the end of the drain closes connections by the path that rejects what is left on them. Rejecting ends after half of the linger time, so that a client that sends without a pause is shut down before the process exits.

--- a/crates/ingress/src/routing/frontend/closing.rs
+++ b/crates/ingress/src/routing/frontend/closing.rs
@@ -11,6 +11,10 @@
 use roseyard_admission::Event;
 use std::time::Duration;
 
+/// The part of the linger time for which commands are still rejected. The rest is for the client to
+/// read its replies, as the process exits after the linger time of a shutdown.
+const REJECTION_DIVISOR: u32 = 2;
+
 impl Frontend {
     /// Starts to close an open connection: its pending requests are completed, the others rejected.
     pub(super) fn start_closing(&mut self, key: Key) {
@@ -23,7 +27,7 @@
     /// Shuts the connection down for writing once no command is left on it. Called when it is
     /// closing and all replies are written.
     pub(super) fn finish_closing(&mut self, key: Key, driver: &mut Driver, io: &mut Io) {
-        let timeout = self.linger_timeout();
+        let timeout = self.linger_timeout() / REJECTION_DIVISOR;
         let client = self.clients.get_mut(key);
         if client.is_some_and(|client| client.has_commands_to_reject(io.now, timeout)) {
             self.schedule_read(key);
--- a/crates/ingress/src/routing/frontend/shutdown.rs
+++ b/crates/ingress/src/routing/frontend/shutdown.rs
@@ -1,6 +1,6 @@
 //! Closes all client connections when the process shuts down.
 
-use super::client::{Phase, RemainingInput};
+use super::client::Phase;
 use super::Frontend;
 use crate::routing::driver::Driver;
 use crate::routing::io::Io;
@@ -31,16 +31,11 @@
         }
     }
 
-    /// Closes each connection once its replies are written, without a grace period for new clients.
-    /// Called after the driver has given every open request its final response.
+    /// Closes each connection once every command on it is replied to, without a grace period for new
+    /// clients. Called after the driver has given every open request its final response.
     pub fn close_connections(&mut self) {
         for key in self.keys() {
-            if let Some(client) = self.clients.get_mut(key) {
-                if client.phase == Phase::Open {
-                    client.phase = Phase::Closing(RemainingInput::Discard);
-                }
-            }
-            self.schedule_flush(key);
+            self.start_closing(key);
         }
     }
 
--- a/crates/ingress/tests/client_memory.rs
+++ b/crates/ingress/tests/client_memory.rs
@@ -49,7 +49,7 @@
         assert!(client.is_open, "the client was disconnected");
         client.input.len() >= value.len() + 10
     });
-    assert_eq!(take_replies(&mut client), 1);
+    assert_eq!(client.take_replies(), 1);
     client.send(read_request(2));
     let (_, connection, _) = harness.next_request();
     harness.endpoints[0].connections[connection].send(served_reply("w"));
@@ -104,25 +104,11 @@
     harness.run_until("all replies", |_| {
         client.read();
         assert!(client.is_open, "closed after {replies} replies");
-        replies += take_replies(&mut client);
+        replies += client.take_replies();
         replies == REQUESTS
     });
 }
 
-/// Removes the complete replies from the client's input. Returns their number.
-fn take_replies(client: &mut Connection) -> u64 {
-    let mut count = 0;
-    let mut offset = 0;
-    while let Ok(Some((_, length))) =
-        roseyard_ingress::protocol::resp::value(&client.input[offset..], &protocol_limits())
-    {
-        offset += length;
-        count += 1;
-    }
-    client.input.drain(..offset);
-    count
-}
-
 /// Guards against: commands that were read ahead of a hanging one are dropped without a reply
 /// when their client has to give way.
 #[test]
@@ -158,7 +144,7 @@
         }
         for (client, replies) in clients.iter_mut().zip(replies) {
             client.read();
-            *replies += take_replies(client);
+            *replies += client.take_replies();
         }
     };
     harness.run_until("all replies", |h| {
--- a/crates/ingress/tests/common/connection.rs
+++ b/crates/ingress/tests/common/connection.rs
@@ -133,6 +133,17 @@
         Some(words)
     }
 
+    /// Removes the complete replies from the input. Returns their number.
+    pub(crate) fn take_replies(&mut self) -> u64 {
+        let (mut count, mut offset) = (0, 0);
+        while let Ok(Some((_, length))) = resp::value(&self.input[offset..], &protocol_limits()) {
+            offset += length;
+            count += 1;
+        }
+        self.input.drain(..offset);
+        count
+    }
+
     /// Returns the input as text, without consuming it.
     pub(crate) fn received_text(&self) -> &str {
         std::str::from_utf8(&self.input).unwrap()
--- a/crates/ingress/tests/shutdown.rs
+++ b/crates/ingress/tests/shutdown.rs
@@ -209,6 +209,64 @@
     run_until_exit(&mut harness);
 }
 
+/// Guards against: commands behind a hanging request, buffered or not yet read, are dropped without
+/// a reply when the drain times out.
+#[test]
+fn commands_behind_a_hanging_request_are_rejected_when_the_drain_times_out() {
+    // More than the 512 KB that are read ahead.
+    const REQUESTS: u64 = 6000;
+    let mut harness = Harness::new(1);
+    let mut client = harness.connect();
+    client.send(read_request(1));
+    let (endpoint, _, _) = harness.next_request();
+    harness.program.shut_down();
+    let requests = (2..=REQUESTS).flat_map(|id| read_request_of_customer(id, id));
+    let mut remaining: Vec<u8> = requests.collect();
+    harness.run_until("all requests are sent", |_| {
+        let sent = client.send_some(&remaining);
+        remaining.drain(..sent);
+        remaining.is_empty()
+    });
+    harness.advance(601);
+    harness.advance(3001);
+    let mut replies = 0;
+    harness.run_until("the connection is closed", |_| {
+        client.read();
+        replies += client.take_replies();
+        !client.is_open
+    });
+    assert_eq!(replies, REQUESTS);
+    assert!(!client.was_reset);
+    drop(client);
+    let _hung_endpoint = &harness.endpoints[endpoint];
+    run_until_exit(&mut harness);
+}
+
+/// Guards against: a connection on which commands arrive without a pause is kept open until the
+/// process exits, so that the exit resets it and destroys replies.
+#[test]
+fn a_client_that_sends_without_a_pause_is_closed_before_the_exit() {
+    let mut harness = Harness::new(1);
+    let mut client = harness.connect();
+    client.send(read_request(1));
+    let (endpoint, _, _) = harness.next_request();
+    begin_drain(&mut harness);
+    harness.advance(3001);
+    let pings = "*1\r\n$4\r\nPING\r\n".repeat(200);
+    for _ in 0..500 {
+        if client.is_open {
+            client.send_some(pings.as_bytes());
+        }
+        harness.advance(1);
+        client.read();
+    }
+    assert!(!client.is_open, "the connection is closed within 500 ms");
+    assert!(!client.was_reset);
+    drop(client);
+    let _hung_endpoint = &harness.endpoints[endpoint];
+    run_until_exit(&mut harness);
+}
+
 #[test]
 fn a_partly_written_reply_is_completed_for_a_reading_client_and_does_not_delay_the_exit() {
     for client_reads in [true, false] {
