Refused and evicted connections: every request that has arrived is rejected

What callers saw: three requests on a connection that is refused got one -BUSY; requests that arrive on an idle connection as it is evicted, as when a reload lowers a limit, got a reset. Change: both close by frontend/rejection.rs, which rejects each command that has arrived, shuts the socket down for writing and discards what is left. A connection that the poller does not take closes so too. The poller's path has no test.

--- a/crates/ingress/src/routing/frontend/accept.rs
+++ b/crates/ingress/src/routing/frontend/accept.rs
@@ -1,7 +1,8 @@
 //! Accepts connections as far as admission and the budget of file descriptors allow.
 
 use super::client::Client;
-use super::listener::{connection_id, reject, AcceptOutcome};
+use super::listener::{connection_id, AcceptOutcome};
+use super::rejection::reject;
 use super::{apply_action, Frontend};
 use crate::routing::driver::Driver;
 use crate::routing::event_source::EventSource;
@@ -65,7 +66,10 @@
         let token = EventSource::Client(key).token();
         let client = self.clients.get(key);
         if client.is_some_and(|client| io.poller.add(client.stream.fd(), token).is_err()) {
-            self.close(key, false, io);
+            if let Some(client) = self.close(key, false, io) {
+                let retry_after = self.listener.controller.policy().retry_after;
+                reject(client.stream, retry_after, &self.limits.protocol);
+            }
         }
         self.update_deadline(key, io);
     }
@@ -78,12 +82,12 @@
             connection: connection_id(key),
             peer_address: peer,
         };
-        let listener = &mut self.listener;
+        let limits = &self.limits;
         let clients = &mut self.clients;
         let buffered_bytes = &mut self.buffered_bytes;
-        listener.handle(event, io, |action, io| match action {
+        self.listener.handle(event, io, |action, io| match action {
             Action::RejectConnection { retry_after, .. } => rejected = Some(retry_after),
-            _ => apply_action(action, clients, buffered_bytes, io),
+            _ => apply_action(action, clients, buffered_bytes, limits, io),
         });
         rejected
     }
@@ -91,7 +95,7 @@
     /// Rejects a connection for which no descriptor was taken from the budget yet.
     fn reject_client(&mut self, key: Key, retry_after: Duration) {
         if let Some(client) = self.clients.remove(key) {
-            reject(client.stream, retry_after);
+            reject(client.stream, retry_after, &self.limits.protocol);
         }
     }
 
--- a/crates/ingress/src/routing/frontend/listener.rs
+++ b/crates/ingress/src/routing/frontend/listener.rs
@@ -2,7 +2,7 @@
 //! which connections are kept.
 
 use super::limits::FrontendLimits;
-use super::reply;
+use super::rejection::reject;
 use crate::routing::event_source::EventSource;
 use crate::routing::io::{Io, READ_BUFFER_BYTES};
 use crate::transport::{
@@ -17,10 +17,6 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-/// Most bytes of input that are discarded from a rejected connection before it is closed.
-const MAX_REJECTED_INPUT_BYTES: usize = 1 << 16;
-const REJECTED_INPUT_BUFFER_BYTES: usize = 512;
-
 /// Uses whose guaranteed descriptors are taken from the budget at start, for the whole run.
 const RESERVED_DESCRIPTOR_USES: [DescriptorUse; 6] = [
     DescriptorUse::Fixed,
@@ -162,7 +158,11 @@
         io.spare_descriptor = None;
         let socket = self.socket.as_ref();
         if let Some(Ok((stream, _))) = socket.map(|socket| accept(socket, READ_BUFFER_BYTES)) {
-            reject(stream, self.controller.policy().retry_after);
+            reject(
+                stream,
+                self.controller.policy().retry_after,
+                &self.limits.protocol,
+            );
         }
         io.spare_descriptor = open_spare_descriptor();
         tracing::warn!(
@@ -205,7 +205,10 @@
         io.spare_descriptor = None;
         for _ in 0..self.limits.listen_backlog {
             match accept(&socket, READ_BUFFER_BYTES) {
-                Ok((stream, _)) => reject(stream, self.controller.policy().retry_after),
+                Ok((stream, _)) => {
+                    let retry_after = self.controller.policy().retry_after;
+                    reject(stream, retry_after, &self.limits.protocol);
+                }
                 Err(Errno::INTR | Errno::CONNABORTED) => {}
                 Err(_) => break,
             }
@@ -236,17 +239,3 @@
         tracing::info!(event = "admission.summary", clients, rejected = %rejected, "admission summary");
     }
 }
-
-/// Sends a rejection with the time after which the client may retry, and closes the connection.
-pub(super) fn reject(mut stream: Stream, retry_after: Duration) {
-    stream
-        .output()
-        .extend_from_slice(&reply::busy(Some(retry_after)));
-    // Closing a socket with unread input sends a reset, which destroys the reply in transit.
-    let _ = stream.flush();
-    let _ = stream.shut_down_write();
-    let _ = stream.discard(
-        MAX_REJECTED_INPUT_BYTES,
-        &mut [0; REJECTED_INPUT_BUFFER_BYTES],
-    );
-}
--- a/crates/ingress/src/routing/frontend/memory.rs
+++ b/crates/ingress/src/routing/frontend/memory.rs
@@ -10,7 +10,8 @@
 //! | | replies that the client does not read | the end of the connection |
 
 use super::client::{Client, Phase};
-use super::listener::{connection_id, reject};
+use super::listener::connection_id;
+use super::rejection::reject;
 use super::Frontend;
 use crate::routing::driver::Driver;
 use crate::routing::io::Io;
@@ -75,7 +76,8 @@
         let Some(key) = unfinished else { return false };
         log_shedding("unfinished command rejected");
         if let Some(client) = self.close(key, true, io) {
-            reject(client.stream, self.limits.retry_after_at_capacity);
+            let retry_after = self.limits.retry_after_at_capacity;
+            reject(client.stream, retry_after, &self.limits.protocol);
         }
         true
     }
--- a/crates/ingress/src/routing/frontend/mod.rs
+++ b/crates/ingress/src/routing/frontend/mod.rs
@@ -6,6 +6,7 @@
 //! - `input` and `commands`: read, parse and execute commands
 //! - `output` and `reply`: encode and write replies
 //! - `closing`: rejects the commands that are left on a connection that is being closed
+//! - `rejection`: closes refused and evicted connections
 //! - `memory`: the limit on buffered bytes, and who gives way when it is reached
 //! - `timeouts` and `shutdown`: deadlines of connections, and graceful shutdown
 //! - `limits`: limits on client connections
@@ -19,6 +20,7 @@
 mod listener;
 mod memory;
 mod output;
+mod rejection;
 mod reply;
 mod shutdown;
 mod timeouts;
@@ -32,6 +34,7 @@
 use crate::transport::{Key, Slots};
 use client::{Client, PendingReply};
 use listener::{connection_id, Listener};
+use rejection::close_idle;
 use roseyard_admission::{Action, AdmissionController, AdmissionPolicy, DescriptorUse, Event};
 use rustix::fd::OwnedFd;
 use std::collections::HashSet;
@@ -107,7 +110,13 @@
     /// ones when they become idle.
     pub fn set_policy(&mut self, policy: AdmissionPolicy, io: &mut Io) {
         for action in self.listener.set_policy(policy, io) {
-            apply_action(action, &mut self.clients, &mut self.buffered_bytes, io);
+            apply_action(
+                action,
+                &mut self.clients,
+                &mut self.buffered_bytes,
+                &self.limits,
+                io,
+            );
         }
     }
 
@@ -179,11 +188,11 @@
 
     /// Passes an event to the admission controller, and closes the connections that it evicts.
     fn notify_admission(&mut self, event: Event, io: &mut Io) {
-        let listener = &mut self.listener;
+        let limits = &self.limits;
         let clients = &mut self.clients;
         let buffered_bytes = &mut self.buffered_bytes;
-        listener.handle(event, io, |action, io| {
-            apply_action(action, clients, buffered_bytes, io);
+        self.listener.handle(event, io, |action, io| {
+            apply_action(action, clients, buffered_bytes, limits, io);
         });
     }
 
@@ -247,15 +256,20 @@
     Some(client)
 }
 
-/// Closes the connection that admission evicts with [`Action::Close`]. The callers of admission
-/// handle rejections themselves.
+/// Closes the connection that admission evicts with [`Action::Close`], which is idle. The callers of
+/// admission handle rejections themselves.
 fn apply_action(
     action: Action,
     clients: &mut Slots<Client>,
     buffered_bytes: &mut usize,
+    limits: &FrontendLimits,
     io: &mut Io,
 ) {
     if let Action::Close { connection, .. } = action {
-        remove_client(Key::unpack(connection.0), clients, buffered_bytes, io);
+        let key = Key::unpack(connection.0);
+        if let Some(client) = remove_client(key, clients, buffered_bytes, io) {
+            let retry_after = limits.retry_after_at_capacity;
+            close_idle(client.stream, retry_after, &limits.protocol);
+        }
     }
 }
