Stalled clients are told by the bytes that their sockets have accepted

What callers saw: nothing was reported; the review suspected it. A client that reads 30,000 bytes in each 4 s while replies of 65,000 bytes are added was disconnected after 24 s. Cause: progress was told from the number of unwritten bytes, which new replies raise. Change: the stream counts the bytes that the socket has accepted since it was opened; a client is disconnected if that count stands still for 10 s, as the limit says. Evidence: a_slow_reader_is_not_disconnected_while_replies_are_added failed before and passes now; client_commands.rs, which holds that a client that reads nothing is closed, passes.

--- a/crates/ingress/src/routing/frontend/client.rs
+++ b/crates/ingress/src/routing/frontend/client.rs
@@ -46,8 +46,8 @@
 pub(super) struct WriteStall {
     /// The client is disconnected if it has read nothing by this time.
     pub(super) deadline: Duration,
-    /// The number of unwritten bytes when the deadline was set.
-    pub(super) unwritten: usize,
+    /// The number of bytes that had been written when the deadline was set.
+    pub(super) total_written: u64,
 }
 
 /// A client connection with its buffers, pending replies and deadlines.
--- a/crates/ingress/src/routing/frontend/output.rs
+++ b/crates/ingress/src/routing/frontend/output.rs
@@ -56,10 +56,9 @@
             return self.disconnect(key, false, driver, io);
         };
         if unwritten > 0 {
-            let deadline = io.now + self.limits.reply_stall_timeout;
             client.stall = client.stall.or(Some(WriteStall {
-                deadline,
-                unwritten,
+                deadline: io.now + self.limits.reply_stall_timeout,
+                total_written: client.stream.total_written(),
             }));
         } else {
             client.stall = None;
--- a/crates/ingress/src/routing/frontend/timeouts.rs
+++ b/crates/ingress/src/routing/frontend/timeouts.rs
@@ -43,11 +43,11 @@
         };
         client.deadline = None;
         if let Some(stall) = &mut client.stall {
-            let unwritten = client.stream.unwritten();
-            if stall.deadline <= io.now && unwritten < stall.unwritten {
+            let total_written = client.stream.total_written();
+            if stall.deadline <= io.now && total_written > stall.total_written {
                 *stall = WriteStall {
                     deadline: io.now + self.limits.reply_stall_timeout,
-                    unwritten,
+                    total_written,
                 };
             }
         }
--- a/crates/ingress/src/transport/stream.rs
+++ b/crates/ingress/src/transport/stream.rs
@@ -27,6 +27,7 @@
     consumed: usize,
     output: Vec<u8>,
     written: usize,
+    total_written: u64,
 }
 
 /// Opens a descriptor that is only held in reserve, to be closed when the system has none left.
@@ -114,6 +115,7 @@
             consumed: 0,
             output: Vec::new(),
             written: 0,
+            total_written: 0,
         })
     }
 
@@ -225,12 +227,20 @@
         self.output.len() - self.written
     }
 
+    /// Returns the number of bytes that the socket has accepted since it was opened.
+    pub fn total_written(&self) -> u64 {
+        self.total_written
+    }
+
     /// Sends as much of the write buffer as the socket accepts. Returns the number of bytes that
     /// remain.
     pub fn flush(&mut self) -> io::Result<usize> {
         while self.written < self.output.len() {
             match net::send(&self.fd, &self.output[self.written..], SendFlags::NOSIGNAL) {
-                Ok(n) => self.written += n,
+                Ok(n) => {
+                    self.written += n;
+                    self.total_written += n as u64;
+                }
                 Err(Errno::INTR) => {}
                 Err(Errno::AGAIN) => return Ok(self.unwritten()),
                 Err(e) => return Err(e),
--- a/crates/ingress/tests/closed_connections.rs
+++ b/crates/ingress/tests/closed_connections.rs
@@ -70,3 +70,38 @@
     }
     assert_eq!(evicted, 5);
 }
+
+/// Guards against: a client that reads slowly is taken for one that reads nothing, since replies
+/// that are added hide what it has read.
+#[test]
+fn a_slow_reader_is_not_disconnected_while_replies_are_added() {
+    let mut harness = Harness::new(1);
+    let mut client = Connection::with_small_buffers(harness.program.address().unwrap());
+    let value = "v".repeat(65_000);
+    let reply_to = |harness: &mut Harness, client: &mut Connection, id| {
+        client.send(read_request_of_customer(id, id));
+        let (_, connection, _) = harness.next_request();
+        harness.endpoints[0].connections[connection].send(served_reply(&value));
+        harness.run_until("the reply is read", |h| h.program.open().requests == 0);
+    };
+    reply_to(&mut harness, &mut client, 1);
+    reply_to(&mut harness, &mut client, 2);
+    for id in 3..=8 {
+        // The client reads less than one reply in each 4 s.
+        let mut received = 0;
+        harness.run_until("the client has read a part", |_| {
+            received += client.read_some(8 << 10);
+            received >= 30_000
+        });
+        reply_to(&mut harness, &mut client, id);
+        harness.advance(4000);
+        assert_eq!(harness.program.open().clients, 1, "after {id} replies");
+    }
+    harness.advance(10_001);
+    harness.advance(10_001);
+    assert_eq!(
+        harness.program.open().clients,
+        0,
+        "a client that reads nothing for 10 s is disconnected"
+    );
+}
