Frontend: a table of clients, and execution of commands apart from reading

Change: client_table.rs holds the clients with the bytes buffered for them; execution.rs parses and executes commands, input.rs reads.

--- a/crates/ingress/src/routing/frontend/accept.rs
+++ b/crates/ingress/src/routing/frontend/accept.rs
@@ -1,9 +1,8 @@
 //! Accepts connections as far as admission and the budget of file descriptors allow.
 
-use super::client::Client;
 use super::listener::{connection_id, AcceptOutcome};
 use super::rejection::reject;
-use super::{apply_action, Frontend};
+use super::Frontend;
 use crate::routing::driver::Driver;
 use crate::routing::event_source::EventSource;
 use crate::routing::io::Io;
@@ -50,7 +49,7 @@
     /// Keeps an accepted connection if admission and the descriptor budget allow it, and rejects it
     /// otherwise.
     fn admit(&mut self, stream: Stream, peer: IpAddr, driver: &mut Driver, io: &mut Io) {
-        let key = self.clients.insert_with(|_| Client::new(stream, io.now));
+        let key = self.clients.insert(stream, io);
         if let Some(retry_after) = self.connection_rejection(key, peer, io) {
             return self.reject_client(key, retry_after);
         }
@@ -82,19 +81,17 @@
             connection: connection_id(key),
             peer_address: peer,
         };
-        let limits = &self.limits;
         let clients = &mut self.clients;
-        let buffered_bytes = &mut self.buffered_bytes;
         self.listener.handle(event, io, |action, io| match action {
             Action::RejectConnection { retry_after, .. } => rejected = Some(retry_after),
-            _ => apply_action(action, clients, buffered_bytes, limits, io),
+            _ => clients.apply_action(action, io),
         });
         rejected
     }
 
     /// Rejects a connection for which no descriptor was taken from the budget yet.
     fn reject_client(&mut self, key: Key, retry_after: Duration) {
-        if let Some(client) = self.clients.remove(key) {
+        if let Some(client) = self.clients.remove_unadmitted(key) {
             reject(client.stream, retry_after, &self.limits.protocol);
         }
     }
--- a/crates/ingress/src/routing/frontend/memory.rs
+++ b/crates/ingress/src/routing/frontend/memory.rs
@@ -9,7 +9,7 @@
 //! | | values that wait behind a pending reply | `-ERR failed` in place of each |
 //! | | replies that the client does not read | the end of the connection |
 
-use super::client::{Client, Phase};
+use super::client::Phase;
 use super::listener::connection_id;
 use super::rejection::reject;
 use super::Frontend;
@@ -21,20 +21,20 @@
 impl Frontend {
     /// Whether unfinished commands and new requests are rejected to save memory.
     pub(super) fn is_memory_short(&self) -> bool {
-        self.buffered_bytes > self.limits.shed_buffered_bytes
+        self.clients.buffered_bytes() > self.limits.shed_buffered_bytes
     }
 
     /// Updates the number of bytes that are buffered for a client, and enforces the limit on the
     /// bytes of all clients.
     pub(super) fn update_buffered_bytes(&mut self, key: Key, driver: &mut Driver, io: &mut Io) {
-        self.count_buffered_bytes(key);
+        self.clients.count_buffered_bytes(key);
         if !self.is_memory_short() {
             return;
         }
         // Replies that their sockets accept at once take no memory.
         self.flush(driver, io);
         while self.is_memory_short() && self.reject_unfinished_client(io) {}
-        while self.buffered_bytes > self.limits.max_buffered_bytes {
+        while self.clients.buffered_bytes() > self.limits.max_buffered_bytes {
             let has_shed = self.reject_unexecuted_commands(driver, io)
                 || self.cut_off_unfinished_command(io)
                 || self.fail_waiting_values()
@@ -45,31 +45,10 @@
         }
     }
 
-    /// Updates the number of bytes that are buffered for a client.
-    pub(super) fn count_buffered_bytes(&mut self, key: Key) {
-        if let Some(client) = self.clients.get_mut(key) {
-            let buffered = client.count_buffered_bytes();
-            self.buffered_bytes = self.buffered_bytes - client.buffered_bytes + buffered;
-            client.buffered_bytes = buffered;
-        }
-    }
-
-    /// Returns the client for which `bytes` is largest; `None` if it is 0 for all.
-    fn client_with_most(&self, bytes: impl Fn(&Client) -> usize) -> Option<Key> {
-        let sizes = self
-            .clients
-            .iter()
-            .map(|(key, client)| (key, bytes(client)));
-        let largest = sizes
-            .filter(|(_, size)| *size > 0)
-            .max_by_key(|(_, size)| *size);
-        largest.map(|(key, _)| key)
-    }
-
     /// Rejects the longest unfinished command of a client that awaits no reply, and closes its
     /// connection. Returns false if there is none.
     fn reject_unfinished_client(&mut self, io: &mut Io) -> bool {
-        let unfinished = self.client_with_most(|client| {
+        let unfinished = self.clients.client_with_most(|client| {
             let is_owed_nothing = client.incomplete_command_since.is_some() && client.is_idle();
             client.stream.input().len() * usize::from(is_owed_nothing)
         });
@@ -85,7 +64,7 @@
     /// Closes the connection with the most commands that were read and not executed, and rejects
     /// them. Returns false if there is none.
     fn reject_unexecuted_commands(&mut self, driver: &mut Driver, io: &mut Io) -> bool {
-        let most_unexecuted = self.client_with_most(|client| {
+        let most_unexecuted = self.clients.client_with_most(|client| {
             let is_unexecuted = client.phase == Phase::Open && client.has_unexecuted_commands;
             client.stream.input().len() * usize::from(is_unexecuted)
         });
@@ -95,14 +74,14 @@
         log_shedding("waiting commands rejected");
         self.start_closing(key);
         self.execute_commands(key, usize::MAX, driver, io);
-        self.count_buffered_bytes(key);
+        self.clients.count_buffered_bytes(key);
         true
     }
 
     /// Replies with an error to the longest unfinished command behind pending requests, and closes
     /// the connection after it. Returns false if there is none.
     fn cut_off_unfinished_command(&mut self, io: &mut Io) -> bool {
-        let unfinished = self.client_with_most(|client| {
+        let unfinished = self.clients.client_with_most(|client| {
             client.stream.input().len() * usize::from(client.accepts_commands())
         });
         let Some(key) = unfinished else { return false };
@@ -112,29 +91,34 @@
         }
         self.notify_admission(Event::ProtocolError(connection_id(key)), io);
         self.schedule_flush(key);
-        self.count_buffered_bytes(key);
+        self.clients.count_buffered_bytes(key);
         true
     }
 
     /// Fails the values that wait behind a pending reply, of the client that has most of them, until
     /// the limit holds. Returns false if this releases nothing.
     fn fail_waiting_values(&mut self) -> bool {
-        let excess = self.buffered_bytes - self.limits.max_buffered_bytes;
-        let most_waiting = self.client_with_most(|client| client.pending_value_bytes);
+        let excess = self.clients.buffered_bytes() - self.limits.max_buffered_bytes;
+        let most_waiting = self
+            .clients
+            .client_with_most(|client| client.pending_value_bytes);
         let Some(key) = most_waiting else {
             return false;
         };
         log_shedding("waiting values failed");
         let client = self.clients.get_mut(key);
         let released = client.map_or(0, |client| client.fail_waiting_values(excess));
-        self.count_buffered_bytes(key);
+        self.clients.count_buffered_bytes(key);
         released > 0
     }
 
     /// Disconnects the client with the most buffered bytes, which does not read its replies.
     /// Returns false if no client has any.
     fn disconnect_largest(&mut self, driver: &mut Driver, io: &mut Io) -> bool {
-        let Some(largest) = self.client_with_most(|client| client.buffered_bytes) else {
+        let Some(largest) = self
+            .clients
+            .client_with_most(|client| client.buffered_bytes)
+        else {
             return false;
         };
         log_shedding("client with unread replies disconnected");
--- a/crates/ingress/src/routing/frontend/mod.rs
+++ b/crates/ingress/src/routing/frontend/mod.rs
@@ -2,8 +2,8 @@
 //! and writes the replies of each connection in the order of its commands.
 //!
 //! - `listener` and `accept`: accept connections, as admission allows
-//! - `client`: state of one connection
-//! - `input` and `commands`: read, parse and execute commands
+//! - `client` and `client_table`: state of one connection, and of all
+//! - `input`, `commands` and `execution`: read, parse and execute commands
 //! - `output` and `reply`: encode and write replies
 //! - `closing`: rejects the commands that are left on a connection that is being closed
 //! - `rejection`: closes refused and evicted connections
@@ -13,8 +13,10 @@
 
 mod accept;
 mod client;
+mod client_table;
 mod closing;
 mod commands;
+mod execution;
 mod input;
 mod limits;
 mod listener;
@@ -29,13 +31,12 @@
 pub use limits::FrontendLimits;
 
 use super::driver::Driver;
-use super::event_source::EventSource;
 use super::io::Io;
-use crate::transport::{Key, Slots};
+use crate::transport::Key;
 use client::{Client, PendingReply};
+use client_table::ClientTable;
 use listener::{connection_id, Listener};
-use rejection::close_idle;
-use roseyard_admission::{Action, AdmissionController, AdmissionPolicy, DescriptorUse, Event};
+use roseyard_admission::{AdmissionController, AdmissionPolicy, Event};
 use rustix::fd::OwnedFd;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -53,13 +54,11 @@
 /// has passed.
 pub struct Frontend {
     listener: Listener,
-    clients: Slots<Client>,
+    clients: ClientTable,
     schema: RequestSchema,
     limits: FrontendLimits,
     /// Request ids, chosen by the clients, of all open requests.
     open_request_ids: HashSet<u64>,
-    /// The sum of `Client::buffered_bytes` over all clients.
-    buffered_bytes: usize,
     /// Clients whose output is flushed at the end of this iteration of the event loop.
     flush_queue: Vec<Key>,
     /// Clients whose input is read further in the next iteration.
@@ -88,11 +87,10 @@
     ) -> rustix::io::Result<Frontend> {
         Ok(Frontend {
             listener: Listener::new(listener, policy, secret, limits, io)?,
-            clients: Slots::default(),
+            clients: ClientTable::new(limits),
             schema,
             limits,
             open_request_ids: HashSet::new(),
-            buffered_bytes: 0,
             flush_queue: Vec::new(),
             read_queue: Vec::new(),
             is_draining: false,
@@ -110,13 +108,7 @@
     /// ones when they become idle.
     pub fn set_policy(&mut self, policy: AdmissionPolicy, io: &mut Io) {
         for action in self.listener.set_policy(policy, io) {
-            apply_action(
-                action,
-                &mut self.clients,
-                &mut self.buffered_bytes,
-                &self.limits,
-                io,
-            );
+            self.clients.apply_action(action, io);
         }
     }
 
@@ -155,7 +147,7 @@
     pub fn usage(&self) -> FrontendUsage {
         FrontendUsage {
             open_requests: self.open_request_ids.len(),
-            buffered_bytes: self.buffered_bytes,
+            buffered_bytes: self.clients.buffered_bytes(),
         }
     }
 
@@ -188,18 +180,15 @@
 
     /// Passes an event to the admission controller, and closes the connections that it evicts.
     fn notify_admission(&mut self, event: Event, io: &mut Io) {
-        let limits = &self.limits;
         let clients = &mut self.clients;
-        let buffered_bytes = &mut self.buffered_bytes;
-        self.listener.handle(event, io, |action, io| {
-            apply_action(action, clients, buffered_bytes, limits, io);
-        });
+        self.listener
+            .handle(event, io, |action, io| clients.apply_action(action, io));
     }
 
     /// Closes a connection. `is_client_fault` says whether this counts against the client's
     /// address.
     fn close(&mut self, key: Key, is_client_fault: bool, io: &mut Io) -> Option<Client> {
-        let client = remove_client(key, &mut self.clients, &mut self.buffered_bytes, io)?;
+        let client = self.clients.remove(key, io)?;
         let event = Event::Closed {
             connection: connection_id(key),
             client_fault: is_client_fault,
@@ -239,37 +228,3 @@
         }
     }
 }
-
-/// Removes a client, with its deadline, descriptor and buffered bytes, without informing admission.
-/// The socket is closed when the returned client is dropped.
-fn remove_client(
-    key: Key,
-    clients: &mut Slots<Client>,
-    buffered_bytes: &mut usize,
-    io: &mut Io,
-) -> Option<Client> {
-    let mut client = clients.remove(key)?;
-    io.deadlines
-        .set(&mut client.deadline, None, EventSource::Client(key));
-    io.descriptor_budget.release(DescriptorUse::Clients);
-    *buffered_bytes -= client.buffered_bytes;
-    Some(client)
-}
-
-/// Closes the connection that admission evicts with [`Action::Close`], which is idle. The callers of
-/// admission handle rejections themselves.
-fn apply_action(
-    action: Action,
-    clients: &mut Slots<Client>,
-    buffered_bytes: &mut usize,
-    limits: &FrontendLimits,
-    io: &mut Io,
-) {
-    if let Action::Close { connection, .. } = action {
-        let key = Key::unpack(connection.0);
-        if let Some(client) = remove_client(key, clients, buffered_bytes, io) {
-            let retry_after = limits.retry_after_at_capacity;
-            close_idle(client.stream, retry_after, &limits.protocol);
-        }
-    }
-}
--- a/crates/ingress/src/routing/frontend/output.rs
+++ b/crates/ingress/src/routing/frontend/output.rs
@@ -84,7 +84,7 @@
         } else {
             self.after_flush(key, was_read_blocked, io);
         }
-        self.count_buffered_bytes(key);
+        self.clients.count_buffered_bytes(key);
         self.update_deadline(key, io);
     }
 
--- a/crates/ingress/src/routing/frontend/shutdown.rs
+++ b/crates/ingress/src/routing/frontend/shutdown.rs
@@ -4,7 +4,6 @@
 use super::Frontend;
 use crate::routing::driver::Driver;
 use crate::routing::io::Io;
-use crate::transport::Key;
 
 impl Frontend {
     /// Accepts the connections that still wait at the listener and closes the listener. From then
@@ -14,7 +13,7 @@
         let backlog = self.limits.listen_backlog.unsigned_abs() as usize;
         self.accept_up_to(backlog, driver, io);
         self.listener.close(io);
-        let keys = self.keys();
+        let keys = self.clients.keys();
         let linger_deadline = io.now + self.limits.shutdown.linger_timeout;
         for key in &keys {
             if let Some(client) = self.clients.get_mut(*key) {
@@ -34,12 +33,8 @@
     /// Closes each connection once every command on it is replied to, without a grace period for new
     /// clients. Called after the driver has given every open request its final response.
     pub fn close_connections(&mut self) {
-        for key in self.keys() {
+        for key in self.clients.keys() {
             self.start_closing(key);
         }
     }
-
-    fn keys(&self) -> Vec<Key> {
-        self.clients.iter().map(|(key, _)| key).collect()
-    }
 }
