Descriptors run out: all waiting connections are rejected, with a descriptor of the listener's own

With no descriptor left and 200 connections that wait with a request each, the last reply came after 3.6 s. Cause: one connection was rejected in each 20 ms, and the spare descriptor that accepts it is also taken for connections to endpoints, counter and discovery; until another connection ended, none could be rejected. The listener holds a spare descriptor for this, out of the twelve reserved for the process, which uses eight; the connections' part is unchanged.

--- a/crates/ingress/src/routing/frontend/accept.rs
+++ b/crates/ingress/src/routing/frontend/accept.rs
@@ -19,7 +19,7 @@
     }
 
     /// Accepts up to `max` waiting connections. If descriptors are exhausted, closes an idle
-    /// upstream connection or an idle client, or else rejects one connection and stops.
+    /// upstream connection or an idle client, or else rejects the waiting connections and stops.
     pub(super) fn accept_up_to(&mut self, max: usize, driver: &mut Driver, io: &mut Io) {
         for _ in 0..max {
             match self.listener.accept(io) {
@@ -28,7 +28,7 @@
                 AcceptOutcome::Failed => {}
                 AcceptOutcome::DescriptorsExhausted => {
                     if !driver.evict_idle(io) && !self.evict_idle_client(io) {
-                        return self.listener.reject_next(io);
+                        return self.listener.reject_waiting(io);
                     }
                 }
             }
--- a/crates/ingress/src/routing/frontend/listener.rs
+++ b/crates/ingress/src/routing/frontend/listener.rs
@@ -53,6 +53,9 @@
     /// When accepting resumes; `None` if it is not paused. While it is paused, the socket is not
     /// registered with the poller.
     paused_until: Option<Duration>,
+    /// A descriptor held in reserve, with which connections are accepted to reject them when the
+    /// system has none left.
+    rejection_descriptor: Option<OwnedFd>,
     /// Empty between events; reused for its capacity.
     actions: Vec<Action>,
     /// Totals at the time of the last summary.
@@ -84,6 +87,7 @@
             controller: AdmissionController::new(policy, secret, io.now),
             limits,
             paused_until: None,
+            rejection_descriptor: open_spare_descriptor(),
             actions: Vec::new(),
             last_counts: RejectionCounts::default(),
             summary_deadline: None,
@@ -152,19 +156,10 @@
         }
     }
 
-    /// Uses the spare descriptor to accept and reject the next connection, then pauses accepting.
-    /// Without descriptors the listener stays readable, and the event loop would spin on it.
-    pub(super) fn reject_next(&mut self, io: &mut Io) {
-        io.spare_descriptor = None;
-        let socket = self.socket.as_ref();
-        if let Some(Ok((stream, _))) = socket.map(|socket| accept(socket, READ_BUFFER_BYTES)) {
-            reject(
-                stream,
-                self.controller.policy().retry_after,
-                &self.limits.protocol,
-            );
-        }
-        io.spare_descriptor = open_spare_descriptor();
+    /// Rejects waiting connections, up to the limit of one iteration, then pauses accepting. Without
+    /// descriptors the listener stays readable, and the event loop would spin on it.
+    pub(super) fn reject_waiting(&mut self, io: &mut Io) {
+        self.reject_up_to(self.limits.max_accepts_per_iteration);
         tracing::warn!(
             event = "clients.descriptors_exhausted",
             "descriptors exhausted, accepting paused"
@@ -199,21 +194,32 @@
     pub(super) fn close(&mut self, io: &mut Io) {
         io.deadlines
             .set(&mut self.paused_until, None, EventSource::Listener);
-        let Some(socket) = self.socket.take() else {
+        self.reject_up_to(self.limits.listen_backlog.unsigned_abs() as usize);
+        self.socket = None;
+    }
+
+    /// Accepts up to `max` waiting connections one after another with the descriptor that is held
+    /// in reserve for this, and rejects each.
+    fn reject_up_to(&mut self, max: usize) {
+        self.rejection_descriptor = None;
+        self.accept_and_reject(max);
+        self.rejection_descriptor = open_spare_descriptor();
+    }
+
+    fn accept_and_reject(&self, max: usize) {
+        let Some(socket) = &self.socket else {
             return;
         };
-        io.spare_descriptor = None;
-        for _ in 0..self.limits.listen_backlog {
-            match accept(&socket, READ_BUFFER_BYTES) {
+        for _ in 0..max {
+            match accept(socket, READ_BUFFER_BYTES) {
                 Ok((stream, _)) => {
                     let retry_after = self.controller.policy().retry_after;
                     reject(stream, retry_after, &self.limits.protocol);
                 }
                 Err(Errno::INTR | Errno::CONNABORTED) => {}
-                Err(_) => break,
+                Err(_) => return,
             }
         }
-        io.spare_descriptor = open_spare_descriptor();
     }
 
     /// Logs how many connections and requests were rejected since the last summary, by reason.
--- a/crates/ingress/tests/descriptor_exhaustion.rs
+++ b/crates/ingress/tests/descriptor_exhaustion.rs
@@ -187,3 +187,41 @@
     peers.run_until("the exit", |_| process.child.try_wait().unwrap().is_some());
     assert_eq!(process.child.wait().unwrap().code(), Some(0));
 }
+
+/// Guards against: of many connections that wait while the process has no descriptor left, those
+/// behind the first ones have no reply to their requests until long after their time.
+#[test]
+fn requests_on_waiting_connections_are_rejected_in_time_when_descriptors_run_out() {
+    const WAITING: u64 = 200;
+    /// The time of a request, and half a second for its answer to arrive.
+    const MAX_DELAY: Duration = Duration::from_millis(1000);
+    let mut peers = Peers::new(3);
+    let text = config(
+        &peers.counter.peer,
+        &peers.discovery,
+        &peers.endpoints,
+        1024,
+    );
+    let process = IngressProcess::start("waiting", &text);
+    let connect = || Connection::connect(process.address);
+    let mut clients: Vec<Connection> = (0..CLIENTS).map(|_| connect()).collect();
+    peers.run_until_ready(&mut clients[0]);
+    let _in_flight = peers.send_writes(&mut clients);
+    limit_descriptors(Pid::from_child(&process.child));
+    let mut waiting = Vec::new();
+    for id in 1..=WAITING {
+        let mut client = connect();
+        let fields = READ_FIELDS.replace("d=3000", "d=500");
+        client.send(request_of_customer(id, "API.READ", 1000 + id, &fields));
+        waiting.push((client, Instant::now()));
+    }
+    peers.run_until("a reply to each request", |_| {
+        waiting.retain_mut(|(client, sent_at)| {
+            client.read();
+            let delay = sent_at.elapsed();
+            assert!(delay < MAX_DELAY, "a request has no reply after {delay:?}");
+            client.input.is_empty()
+        });
+        waiting.is_empty()
+    });
+}
--- a/crates/operator-config/src/settings.rs
+++ b/crates/operator-config/src/settings.rs
@@ -132,7 +132,7 @@
 }
 
 /// Descriptors for standard streams, the readiness poller, the listener and signals.
-const FIXED_DESCRIPTORS: usize = 12;
+const FIXED_DESCRIPTORS: usize = 11;
 /// Descriptors for connections to the counter, unless the file sets another number.
 const COUNTER_DESCRIPTORS: usize = 8;
 /// Descriptors for the discovery watch.
@@ -140,7 +140,7 @@
 /// Descriptors for files, such as a snapshot that is being written.
 const FILE_DESCRIPTORS: usize = 2;
 /// Descriptors held unused, which are closed when the system has none left.
-const SPARE_DESCRIPTORS: usize = 1;
+const SPARE_DESCRIPTORS: usize = 2;
 /// Minimum number of descriptors for connections from clients and to servers together, even if
 /// fewer are left.
 const MIN_CONNECTION_DESCRIPTORS: usize = 4;
