--- a/review/stand-2/deployment.rs
+++ b/review/stand-2/deployment.rs
@@ -232,5 +232,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        // Its number may belong to another process from now on, so the script must not end it.
+        let _ = fs::remove_file(self.folder.join("pids"));
     }
 }
